--- /dev/null
+++ b/src/core/base/manualclock.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "core/base/clock.h"
+
+namespace wisteriafork {
+
+// Clock that moves only when told to. Used for virtual time in tests, benchmarks and the experiment tool.
+class ManualClock : public Clock
+{
+public:
+    // Starts well above the epoch so that subtracting a timeout never underflows.
+    ManualClock() = default;
+    explicit ManualClock(TimePoint start) : m_now(start)
+    {
+    }
+
+    TimePoint now() const override
+    {
+        return m_now;
+    }
+
+    void advance(Duration step)
+    {
+        m_now += step;
+    }
+
+    void set(TimePoint time)
+    {
+        m_now = time;
+    }
+
+private:
+    TimePoint m_now{std::chrono::hours(24)};
+};
+
+} // namespace wisteriafork
