--- /dev/null
+++ b/src/core/node/action.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "core/base/calldescription.h"
+#include "core/base/loadreport.h"
+#include "core/base/refusal.h"
+#include "core/node/decision.h"
+#include "core/node/forwardmode.h"
+#include "core/node/peermessage.h"
+
+#include <string>
+#include <variant>
+
+namespace wisteriafork {
+
+// Send the call to the local backend server.
+struct RunLocal
+{
+    CallId id = 0;
+    Duration remaining{0};
+    // Attempts that the calls below may spend together; sent as `Wf-Attempts-Left`.
+    std::uint32_t attemptsLeft = 0;
+};
+
+// Send the call to a peer. The transport sends the call description with the changed values given here.
+struct ForwardCall
+{
+    CallId id = 0;
+    NodeId to;
+    ForwardMode mode = ForwardMode::Serve;
+    Duration remaining{0};
+    std::uint32_t attemptsLeft = 0;
+};
+
+struct RespondRefused
+{
+    CallId id = 0;
+    Refusal refusal;
+    // Attached when the call came from a peer.
+    LoadReport load;
+};
+
+// Pass the whole answer that arrived for this call to whoever sent the call.
+struct RelayAnswer
+{
+    CallId id = 0;
+    // Attached when the call came from a peer.
+    LoadReport load;
+};
+
+// Keep a copy of the answer that arrived for this call, for resends of the request.
+struct StoreAnswer
+{
+    CallId id = 0;
+    RequestKey key;
+};
+
+// Answer the call with the stored answer of the key, marked as replayed.
+struct RespondStored
+{
+    CallId id = 0;
+    RequestKey key;
+};
+
+struct DropStoredAnswer
+{
+    RequestKey key;
+};
+
+struct CancelLocal
+{
+    CallId id = 0;
+};
+
+struct CancelForward
+{
+    CallId id = 0;
+};
+
+struct SendPeerMessage
+{
+    NodeId to;
+    // Address of the receiver's peer listener, "127.0.0.1:7101".
+    std::string address;
+    PeerMessage message;
+};
+
+// Read a key of the configuration service once.
+struct ReadPlatformValue
+{
+    std::string key;
+};
+
+// Keep a waiting watch on a key of the configuration service, starting after the given version.
+struct StartWatch
+{
+    std::string key;
+    std::uint64_t afterVersion = 0;
+};
+
+struct StopWatch
+{
+    std::string key;
+};
+
+// Write one log line for a routing, placement or admission decision.
+struct RecordDecision
+{
+    Decision decision;
+};
+
+// Nothing is in flight any more and all records are handed over; the process may exit.
+struct DrainComplete
+{
+};
+
+using Action = std::variant<RunLocal, ForwardCall, RespondRefused, RelayAnswer, StoreAnswer, RespondStored, DropStoredAnswer, CancelLocal,
+                            CancelForward, SendPeerMessage, ReadPlatformValue, StartWatch, StopWatch, RecordDecision, DrainComplete>;
+
+} // namespace wisteriafork
