Add the experiment tool with stand-ins and an old-client load generator

Cause: the whole path needs backend servers, a configuration service and callers that resend without pause. Conclusion: the tool can judge whole answers, repeats and recovery.

--- /dev/null
+++ b/src/lab/loadresult.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace wisteriafork::lab {
+
+// Outcomes of the requests of one kind.
+struct OperationResult
+{
+    std::uint64_t requests = 0;
+    // Requests that got their whole answer in time.
+    std::uint64_t completed = 0;
+    // Answers that belong to another request; must be 0.
+    std::uint64_t mismatched = 0;
+    // Requests that were given up after the resend time.
+    std::uint64_t abandoned = 0;
+    std::uint64_t attempts = 0;
+    // Refusals of single attempts, by what they say.
+    std::uint64_t refusedNotRun = 0;
+    std::uint64_t refusedUnknown = 0;
+    std::uint64_t otherErrors = 0;
+    std::uint64_t timeouts = 0;
+    // Answers that the system had stored for a resend.
+    std::uint64_t replayed = 0;
+};
+
+// What happened to the requests that began in one second of the run.
+struct SecondResult
+{
+    std::uint64_t requests = 0;
+    std::uint64_t completed = 0;
+    // Completions that fell into this second.
+    std::uint64_t completions = 0;
+    std::vector<double> latenciesMs;
+};
+
+struct LoadResult
+{
+    std::map<std::string, OperationResult> operations;
+    std::vector<SecondResult> seconds;
+};
+
+} // namespace wisteriafork::lab
--- /dev/null
+++ b/src/lab/main.cpp
@@ -0,0 +1,92 @@
+#include "lab/commandline.h"
+#include "lab/loadgenerator.h"
+#include "lab/loadreportwriter.h"
+#include "lab/standinplatform.h"
+#include "lab/standinserver.h"
+
+#include <cstdio>
+#include <fstream>
+#include <string_view>
+
+using namespace wisteriafork;
+using namespace wisteriafork::lab;
+
+namespace {
+
+constexpr int ExitMismatch = 1;
+constexpr int ExitUsage = 2;
+
+int reportFindings(const std::vector<Finding> &findings)
+{
+    for (const Finding &finding : findings) {
+        std::fprintf(stderr, "wisteriafork-lab: %s: %s\n", finding.pointer.c_str(), finding.message.c_str());
+    }
+    return ExitUsage;
+}
+
+int runServer(std::span<char *> arguments)
+{
+    const auto options = parseServerArguments(arguments);
+    if (!options) {
+        return reportFindings(options.error());
+    }
+    asio::io_context context(1);
+    StandinServer server(context, *options);
+    server.start();
+    context.run();
+    return 0;
+}
+
+int runPlatform(std::span<char *> arguments)
+{
+    const auto options = parsePlatformArguments(arguments);
+    if (!options) {
+        return reportFindings(options.error());
+    }
+    asio::io_context context(1);
+    StandinPlatform platform(context, options->port);
+    platform.start();
+    context.run();
+    return 0;
+}
+
+int runLoad(std::span<char *> arguments)
+{
+    std::string resultFile;
+    const auto options = parseLoadArguments(arguments, resultFile);
+    if (!options) {
+        return reportFindings(options.error());
+    }
+    asio::io_context context(1);
+    LoadGenerator generator(context, *options);
+    asio::co_spawn(context, generator.run(), asio::detached);
+    context.run();
+    if (!resultFile.empty()) {
+        std::ofstream(resultFile) << writeJson(generator.result(), *options) << '\n';
+    }
+    std::fputs(writeTable(generator.result(), *options).c_str(), stdout);
+    std::uint64_t mismatched = 0;
+    for (const auto &[name, operation] : generator.result().operations) {
+        mismatched += operation.mismatched;
+    }
+    return mismatched == 0 ? 0 : ExitMismatch;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const std::span<char *> arguments(argv + 1, static_cast<std::size_t>(argc - 1));
+    const std::string_view command = arguments.empty() ? std::string_view() : arguments[0];
+    if (command == "server") {
+        return runServer(arguments);
+    }
+    if (command == "platform") {
+        return runPlatform(arguments);
+    }
+    if (command == "load") {
+        return runLoad(arguments);
+    }
+    std::fputs(usage(), command == "--help" ? stdout : stderr);
+    return command == "--help" ? 0 : ExitUsage;
+}
--- /dev/null
+++ b/src/lab/standinserver.cpp
@@ -0,0 +1,200 @@
+#include "lab/standinserver.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdlib>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace wisteriafork::lab {
+
+namespace {
+
+// Interval of the load endpoint's samples; readings between them are stale, as those of real servers.
+constexpr std::chrono::milliseconds LoadSampleInterval(1000);
+
+// Identifies a caller's request across resends and down the chain in experiments.
+constexpr const char *RequestIdHeader = "X-Lab-Request";
+// A request with this header ends the process that runs it.
+constexpr const char *CrashHeader = "X-Lab-Crash";
+
+// Headers that a service copies from the request it serves to the calls it makes for it.
+constexpr const char *PropagatedHeaders[]
+    = {RequestIdHeader, "traceparent", "Wf-Deadline-Ms", "Wf-Class", "Wf-Attempts-Left", "Wf-Tenant", "Wf-Request-Id"};
+
+std::chrono::milliseconds remainingTime(const HttpRequest &request, std::chrono::milliseconds fallback)
+{
+    const beast::string_view text = request["Wf-Deadline-Ms"];
+    std::int64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (text.empty() || error != std::errc()) {
+        return fallback;
+    }
+    return std::chrono::milliseconds(value);
+}
+
+} // namespace
+
+StandinServer::StandinServer(asio::io_context &context, StandinServerOptions options)
+    : m_context(context)
+    , m_options(std::move(options))
+    , m_server(context, m_options.port,
+               [this](HttpRequest request, RequestContext connection) { return handle(std::move(request), connection); })
+    , m_client(context)
+    , m_slots(context, m_options.slots, m_options.queueLength)
+    , m_random(m_options.seed)
+{
+}
+
+void StandinServer::start()
+{
+    m_server.start();
+    asio::co_spawn(m_context, sampleLoad(), asio::detached);
+}
+
+asio::awaitable<void> StandinServer::sampleLoad()
+{
+    asio::steady_timer timer(m_context);
+    for (;;) {
+        m_sampledRunning = m_slots.running();
+        timer.expires_after(LoadSampleInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+asio::awaitable<HttpResponse> StandinServer::handle(HttpRequest request, RequestContext connection)
+{
+    if (request.target().starts_with("/_lab/")) {
+        co_return control(request);
+    }
+    if (!request[CrashHeader].empty()) {
+        std::_Exit(3);
+    }
+    const auto arrived = std::chrono::steady_clock::now();
+    const std::chrono::milliseconds remaining = remainingTime(request, std::chrono::hours(1));
+    if (m_draining || !co_await m_slots.acquire()) {
+        ++m_counters.refused;
+        co_return refuse(request, "no slot is free");
+    }
+    if (std::chrono::steady_clock::now() - arrived > remaining) {
+        m_slots.release();
+        ++m_counters.expired;
+        co_return refuse(request, "the deadline has passed");
+    }
+    if (connection.clientGone()) {
+        m_slots.release();
+        ++m_counters.cancelled;
+        co_return refuse(request, "the client has gone");
+    }
+    HttpResponse response = co_await run(std::move(request), connection);
+    m_slots.release();
+    co_return response;
+}
+
+asio::awaitable<HttpResponse> StandinServer::run(HttpRequest request, RequestContext connection)
+{
+    const std::string requestId(request[RequestIdHeader]);
+    if (request.method() == http::verb::post) {
+        m_executions.add(requestId);
+    }
+    asio::steady_timer timer(m_context, drawServiceTime());
+    co_await timer.async_wait(asio::use_awaitable);
+    if (!co_await callChildren(request)) {
+        ++m_counters.childFailures;
+        ++m_counters.wasted;
+        co_return makeResponse(request, http::status::bad_gateway, R"({"error":"a call to another service failed"})");
+    }
+    if (connection.clientGone()) {
+        ++m_counters.wasted;
+    }
+    ++m_counters.answered;
+    const nlohmann::json body{{"instance", m_options.name}, {"request", requestId}, {"target", std::string(request.target())}};
+    co_return makeResponse(request, http::status::ok, body.dump());
+}
+
+asio::awaitable<bool> StandinServer::callChildren(const HttpRequest &request)
+{
+    const auto started = std::chrono::steady_clock::now();
+    const std::chrono::milliseconds remaining = remainingTime(request, m_options.callTimeout);
+    for (const ChildCall &call : m_options.calls) {
+        const auto spent = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - started);
+        if (!co_await callChild(request, call, std::min(remaining - spent, m_options.callTimeout))) {
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
+asio::awaitable<bool> StandinServer::callChild(const HttpRequest &parent, const ChildCall &call, std::chrono::milliseconds timeout)
+{
+    if (timeout.count() <= 0 || m_options.targets.empty()) {
+        co_return false;
+    }
+    std::size_t target = std::uniform_int_distribution<std::size_t>(0, m_options.targets.size() - 1)(m_random);
+    for (unsigned attempt = 0; attempt < m_options.tries; ++attempt, ++target) {
+        HttpRequest request(http::string_to_verb(call.method), call.path, 11);
+        request.set(http::field::host, "localhost");
+        for (const char *header : PropagatedHeaders) {
+            if (!parent[header].empty()) {
+                request.set(header, parent[header]);
+            }
+        }
+        request.set("Wf-Deadline-Ms", std::to_string(timeout.count()));
+        const auto response = co_await m_client.send(m_options.targets[target % m_options.targets.size()], std::move(request), timeout);
+        if (response && response->result() == http::status::ok) {
+            co_return true;
+        }
+    }
+    co_return false;
+}
+
+std::chrono::microseconds StandinServer::drawServiceTime()
+{
+    const double mean = static_cast<double>(m_options.serviceTime.count()) * m_slowFactor;
+    return std::chrono::microseconds(static_cast<std::int64_t>(std::exponential_distribution<double>(1.0 / mean)(m_random)));
+}
+
+HttpResponse StandinServer::refuse(const HttpRequest &request, const char *reason)
+{
+    HttpResponse response = makeResponse(request, http::status::service_unavailable, nlohmann::json{{"error", reason}}.dump());
+    response.set(http::field::retry_after, "1");
+    return response;
+}
+
+HttpResponse StandinServer::control(const HttpRequest &request)
+{
+    const std::string path(request.target());
+    constexpr std::string_view slowPath = "/_lab/slow/";
+    if (path == "/_lab/stats") {
+        return makeResponse(request, http::status::ok, statistics());
+    }
+    if (path == "/_lab/executions") {
+        return makeResponse(request, http::status::ok, nlohmann::json(m_executions.byRequest()).dump());
+    }
+    if (path == "/_lab/load") {
+        return makeResponse(request, http::status::ok, nlohmann::json{{"running", m_sampledRunning}, {"slots", m_slots.count()}}.dump());
+    }
+    if (path.starts_with(slowPath)) {
+        m_slowFactor = std::max(0.01, std::strtod(path.c_str() + slowPath.size(), nullptr));
+        return makeResponse(request, http::status::ok, "{}");
+    }
+    if (path == "/_lab/drain") {
+        m_draining = true;
+        return makeResponse(request, http::status::ok, "{}");
+    }
+    return makeResponse(request, http::status::not_found, R"({"error":"unknown control path"})");
+}
+
+std::string StandinServer::statistics() const
+{
+    return nlohmann::json{
+        {"name", m_options.name},        {"answered", m_counters.answered},    {"refused", m_counters.refused},
+        {"expired", m_counters.expired}, {"cancelled", m_counters.cancelled},  {"childFailures", m_counters.childFailures},
+        {"wasted", m_counters.wasted},   {"executions", m_executions.total()}, {"repeatedExecutions", m_executions.repeated()},
+        {"running", m_slots.running()},  {"queued", m_slots.queued()},
+    }
+        .dump();
+}
+
+} // namespace wisteriafork::lab
