Add the headers of ownership and the crash guard

Publishes the inputs, outputs and messages of the at-most-once protocol and of the crash guard, so that the node can be composed against them.

--- /dev/null
+++ b/src/core/ownership/opencopies.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "core/base/clock.h"
+#include "core/ownership/copymessages.h"
+
+#include <unordered_map>
+
+namespace wisteriafork {
+
+// The non-idempotent calls that are open at an edge node, of any service, with their arrival times. It answers the check by which an owner
+// tells a new copy of a refused request from a late one. One per node; not thread safe.
+class OpenCopies
+{
+public:
+    explicit OpenCopies(const Clock &clock);
+
+    // Call on every tick of the node (100 ms).
+    void tick();
+
+    // Registers a call that arrived from a caller or from the local backend server. Returns its arrival time, which is the time of the last
+    // tick if the process was paused, because the call may have waited in a socket buffer during the pause.
+    TimePoint opened(CallId call, const RequestKey &key);
+    void closed(CallId call);
+
+    CopyChecked answer(const CopyCheck &check) const;
+
+private:
+    struct Copy
+    {
+        RequestKey key;
+        TimePoint arrivedAt;
+    };
+
+    const Clock &m_clock;
+    TimePoint m_lastTick;
+    std::unordered_map<CallId, Copy> m_copies;
+    std::unordered_multimap<RequestKey, CallId> m_byKey;
+};
+
+} // namespace wisteriafork
