--- /dev/null
+++ b/src/core/config/objectreader.cpp
@@ -0,0 +1,197 @@
+#include "core/config/objectreader.h"
+
+#include <cmath>
+#include <sstream>
+#include <utility>
+
+namespace wisteriafork {
+
+namespace {
+
+std::string formatNumber(double value)
+{
+    std::ostringstream text;
+    text << value;
+    return text.str();
+}
+
+std::string describeType(const nlohmann::json &value)
+{
+    return value.type_name();
+}
+
+} // namespace
+
+void addFinding(Findings &findings, const LocatedJson &document, Severity severity, std::string pointer, std::string message)
+{
+    const unsigned line = document.lineOf(pointer);
+    findings.push_back({.severity = severity, .pointer = std::move(pointer), .line = line, .message = std::move(message)});
+}
+
+ObjectReader::ObjectReader(const LocatedJson &document, const nlohmann::json &value, std::string pointer, Findings &findings)
+    : m_document(document), m_value(value), m_pointer(std::move(pointer)), m_findings(findings)
+{
+    if (!m_value.is_object()) {
+        addFinding(m_findings, m_document, Severity::Error, m_pointer, "expected an object, found " + describeType(m_value));
+    }
+}
+
+bool ObjectReader::has(std::string_view name) const
+{
+    return m_value.is_object() && m_value.contains(name);
+}
+
+const nlohmann::json *ObjectReader::member(std::string_view name)
+{
+    m_known.emplace(name);
+    if (!has(name)) {
+        return nullptr;
+    }
+    return &*m_value.find(name);
+}
+
+const nlohmann::json *ObjectReader::required(std::string_view name)
+{
+    const nlohmann::json *found = member(name);
+    if (found == nullptr && m_value.is_object()) {
+        addFinding(m_findings, m_document, Severity::Error, m_pointer, "member \"" + std::string(name) + "\" is missing");
+    }
+    return found;
+}
+
+std::string ObjectReader::pointerTo(std::string_view name) const
+{
+    return childPointer(m_pointer, name);
+}
+
+void ObjectReader::error(std::string_view name, std::string message)
+{
+    addFinding(m_findings, m_document, Severity::Error, pointerTo(name), std::move(message));
+}
+
+std::string ObjectReader::text(std::string_view name)
+{
+    const nlohmann::json *found = required(name);
+    if (found == nullptr) {
+        return {};
+    }
+    if (!found->is_string()) {
+        error(name, "expected a text, found " + describeType(*found));
+        return {};
+    }
+    std::string value = found->get<std::string>();
+    if (value.empty()) {
+        error(name, "must not be empty");
+    }
+    return value;
+}
+
+std::string ObjectReader::choice(std::string_view name, const std::vector<std::string_view> &allowed)
+{
+    const std::string value = text(name);
+    if (value.empty()) {
+        return {};
+    }
+    std::string list;
+    for (const std::string_view candidate : allowed) {
+        if (candidate == value) {
+            return value;
+        }
+        list += (list.empty() ? "" : ", ") + std::string(candidate);
+    }
+    error(name, "expected one of " + list + ", found \"" + value + "\"");
+    return {};
+}
+
+std::uint64_t ObjectReader::integer(std::string_view name, std::uint64_t least, std::uint64_t greatest,
+                                    std::optional<std::uint64_t> fallback)
+{
+    const nlohmann::json *found = fallback ? member(name) : required(name);
+    if (found == nullptr) {
+        return fallback.value_or(least);
+    }
+    const std::string range = "from " + std::to_string(least) + " to " + std::to_string(greatest);
+    if (!found->is_number_unsigned()) {
+        error(name, "expected a whole number " + range + ", found " + (found->is_number() ? found->dump() : describeType(*found)));
+        return fallback.value_or(least);
+    }
+    const auto value = found->get<std::uint64_t>();
+    if (value < least || value > greatest) {
+        error(name, "expected a whole number " + range + ", found " + std::to_string(value));
+        return fallback.value_or(least);
+    }
+    return value;
+}
+
+double ObjectReader::number(std::string_view name, double least, double greatest, std::optional<double> fallback)
+{
+    const nlohmann::json *found = fallback ? member(name) : required(name);
+    if (found == nullptr) {
+        return fallback.value_or(least);
+    }
+    const double value = found->is_number() ? found->get<double>() : std::nan("");
+    if (!std::isfinite(value) || value < least || value > greatest) {
+        error(name,
+              "expected a number from " + formatNumber(least) + " to " + formatNumber(greatest) + ", found "
+                  + (found->is_number() ? found->dump() : describeType(*found)));
+        return fallback.value_or(least);
+    }
+    return value;
+}
+
+bool ObjectReader::boolean(std::string_view name)
+{
+    const nlohmann::json *found = required(name);
+    if (found == nullptr) {
+        return false;
+    }
+    if (!found->is_boolean()) {
+        error(name, "expected true or false, found " + describeType(*found));
+        return false;
+    }
+    return found->get<bool>();
+}
+
+void ObjectReader::elements(std::string_view name, bool isRequired,
+                            const std::function<void(const nlohmann::json &, const std::string &)> &readElement)
+{
+    const nlohmann::json *found = isRequired ? required(name) : member(name);
+    if (found == nullptr) {
+        return;
+    }
+    if (!found->is_array()) {
+        error(name, "expected a list, found " + describeType(*found));
+        return;
+    }
+    const std::string listPointer = pointerTo(name);
+    for (std::size_t index = 0; index < found->size(); ++index) {
+        readElement((*found)[index], childPointer(listPointer, index));
+    }
+}
+
+std::vector<std::string> ObjectReader::texts(std::string_view name, bool isRequired)
+{
+    std::vector<std::string> values;
+    elements(name, isRequired, [&](const nlohmann::json &element, const std::string &pointer) {
+        if (element.is_string() && !element.get_ref<const std::string &>().empty()) {
+            values.push_back(element.get<std::string>());
+        } else {
+            addFinding(m_findings, m_document, Severity::Error, pointer, "expected a text that is not empty");
+        }
+    });
+    return values;
+}
+
+void ObjectReader::reportUnknownMembers()
+{
+    if (!m_value.is_object()) {
+        return;
+    }
+    for (const auto &[name, value] : m_value.items()) {
+        if (!m_known.contains(name)) {
+            error(name, "unknown member");
+        }
+    }
+}
+
+} // namespace wisteriafork
