--- /dev/null
+++ b/src/core/overload/admissionoptions.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "core/base/clock.h"
+#include "core/overload/concurrencylimitoptions.h"
+#include "core/overload/levelcontrolleroptions.h"
+#include "core/overload/queueorder.h"
+
+#include <cstddef>
+
+namespace wisteriafork {
+
+// Settings of an admission controller. The switches exist so that tests can show that each check fails without its mechanism.
+struct AdmissionOptions
+{
+    ConcurrencyLimitOptions limit;
+    LevelControllerOptions level;
+    QueueOrder order = QueueOrder::Fifo;
+    // Most calls that wait, of all classes together. Bounds memory; the level keeps the queue far below it.
+    std::size_t queueLimit = 2000;
+    // Share of the limit that calls which depend on one downstream service may hold while other operations are in use.
+    double isolationShare = 0.8;
+
+    bool priorityEnabled = true;
+    bool fairnessEnabled = true;
+    bool deadlineCheckEnabled = true;
+    bool levelEnabled = true;
+    bool isolationEnabled = true;
+};
+
+} // namespace wisteriafork
--- /dev/null
+++ b/src/core/overload/edgegateoptions.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "core/base/clock.h"
+
+#include <chrono>
+#include <cstddef>
+
+namespace wisteriafork {
+
+struct EdgeGateOptions
+{
+    // Time over which levels of the instances of a service are averaged.
+    Duration levelMemory = std::chrono::milliseconds(50);
+    // Without reports for this long a learnt level starts to open, and is open after `levelRecovery` more.
+    Duration levelHold = std::chrono::milliseconds(500);
+    Duration levelRecovery = std::chrono::seconds(5);
+    // Most calls of this node that wait for one service at the same time.
+    std::size_t waitingLimit = 1000;
+    // Calls that one caller may have in flight through this node at a service under pressure.
+    std::size_t callerInFlight = 8;
+    // Excess over its weighted share that a tenant may use at a service under pressure.
+    double tenantSlack = 1.2;
+    // Time over which shares of tenants are counted.
+    Duration shareMemory = std::chrono::seconds(1);
+
+    bool levelsEnabled = true;
+    bool sharesEnabled = true;
+    bool isolationEnabled = true;
+};
+
+} // namespace wisteriafork
