Add the public headers of the transport and the message codec

The codec decodes with its own reader, because the unpacker of msgpack-cxx allocates memory for the number of elements that a message claims before it has seen any of them.

--- /dev/null
+++ b/src/net/httpclient.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "net/asio.h"
+#include "net/clientexchange.h"
+#include "net/httplimits.h"
+
+#include <chrono>
+#include <cstddef>
+#include <memory>
+
+namespace wisteriafork {
+
+struct HttpClientOptions
+{
+    Tcp::endpoint server;
+    // Connections that are open at the same time; further requests wait.
+    std::size_t connections = 64;
+    std::chrono::milliseconds connectTimeout{1000};
+    // Unused connections are closed after this time. It should be shorter than the server's own keep-alive time, because a request that
+    // meets a closing connection has an unknown outcome.
+    std::chrono::milliseconds idleTimeout{4000};
+    HttpLimits limits;
+};
+
+// HTTP/1.1 client with a bounded pool of keep-alive connections to one server.
+class HttpClient
+{
+public:
+    HttpClient(asio::io_context &context, const HttpClientOptions &options);
+    ~HttpClient();
+
+    // Sends the request with the given additional header fields. The handler is called once, on any worker, unless the exchange is
+    // cancelled.
+    std::shared_ptr<ClientExchange> send(std::shared_ptr<const HttpRequest> request, HttpHeaders extra, AnswerHandler handler);
+    // Closes all connections.
+    void stop();
+
+private:
+    class Private;
+    std::shared_ptr<Private> d;
+};
+
+} // namespace wisteriafork
--- /dev/null
+++ b/src/net/msgpackreader.cpp
@@ -0,0 +1,151 @@
+#include "net/msgpackreader.h"
+
+#include <limits>
+
+namespace wisteriafork {
+
+namespace {
+
+constexpr std::uint8_t Nil = 0xc0;
+constexpr std::uint8_t False = 0xc2;
+constexpr std::uint8_t True = 0xc3;
+constexpr std::uint8_t Bin8 = 0xc4;
+constexpr std::uint8_t Bin32 = 0xc6;
+constexpr std::uint8_t Uint8 = 0xcc;
+constexpr std::uint8_t Uint64 = 0xcf;
+constexpr std::uint8_t Int8 = 0xd0;
+constexpr std::uint8_t Int64 = 0xd3;
+constexpr std::uint8_t Str8 = 0xd9;
+constexpr std::uint8_t Str32 = 0xdb;
+constexpr std::uint8_t Array16 = 0xdc;
+constexpr std::uint8_t Array32 = 0xdd;
+
+std::int64_t signExtend(std::uint64_t value, std::size_t bytes)
+{
+    const unsigned shift = 64 - 8 * static_cast<unsigned>(bytes);
+    return static_cast<std::int64_t>(value << shift) >> shift;
+}
+
+} // namespace
+
+std::optional<std::uint8_t> MsgpackReader::takeByte()
+{
+    if (m_rest.empty()) {
+        return std::nullopt;
+    }
+    const auto byte = static_cast<std::uint8_t>(m_rest.front());
+    m_rest.remove_prefix(1);
+    return byte;
+}
+
+std::optional<std::uint64_t> MsgpackReader::takeBigEndian(std::size_t bytes)
+{
+    if (m_rest.size() < bytes) {
+        return std::nullopt;
+    }
+    std::uint64_t value = 0;
+    for (std::size_t i = 0; i < bytes; ++i) {
+        value = value << 8U | static_cast<std::uint8_t>(m_rest[i]);
+    }
+    m_rest.remove_prefix(bytes);
+    return value;
+}
+
+std::optional<std::uint64_t> MsgpackReader::readUnsigned()
+{
+    const std::optional<std::uint8_t> head = takeByte();
+    if (!head) {
+        return std::nullopt;
+    }
+    if (*head < 0x80) {
+        return *head;
+    }
+    if (*head >= Uint8 && *head <= Uint64) {
+        return takeBigEndian(std::size_t{1} << (*head - Uint8));
+    }
+    return std::nullopt;
+}
+
+std::optional<std::int64_t> MsgpackReader::readSigned()
+{
+    const std::optional<std::uint8_t> head = takeByte();
+    if (!head) {
+        return std::nullopt;
+    }
+    if (*head < 0x80 || *head >= 0xe0) {
+        return static_cast<std::int8_t>(*head);
+    }
+    if (*head >= Uint8 && *head <= Uint64) {
+        const std::optional<std::uint64_t> value = takeBigEndian(std::size_t{1} << (*head - Uint8));
+        if (!value || *value > static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max())) {
+            return std::nullopt;
+        }
+        return static_cast<std::int64_t>(*value);
+    }
+    if (*head >= Int8 && *head <= Int64) {
+        const std::size_t bytes = std::size_t{1} << (*head - Int8);
+        const std::optional<std::uint64_t> value = takeBigEndian(bytes);
+        return value ? std::optional(signExtend(*value, bytes)) : std::nullopt;
+    }
+    return std::nullopt;
+}
+
+std::optional<bool> MsgpackReader::readBool()
+{
+    const std::optional<std::uint8_t> head = takeByte();
+    if (!head || (*head != False && *head != True)) {
+        return std::nullopt;
+    }
+    return *head == True;
+}
+
+std::optional<std::size_t> MsgpackReader::takeLength(std::uint8_t head)
+{
+    if ((head & 0xe0U) == 0xa0U) {
+        return head & 0x1fU;
+    }
+    if (head >= Str8 && head <= Str32) {
+        return takeBigEndian(std::size_t{1} << (head - Str8));
+    }
+    if (head >= Bin8 && head <= Bin32) {
+        return takeBigEndian(std::size_t{1} << (head - Bin8));
+    }
+    return std::nullopt;
+}
+
+std::optional<std::string_view> MsgpackReader::readString()
+{
+    const std::optional<std::uint8_t> head = takeByte();
+    const std::optional<std::size_t> length = head ? takeLength(*head) : std::nullopt;
+    if (!length || *length > m_rest.size()) {
+        return std::nullopt;
+    }
+    const std::string_view text = m_rest.substr(0, *length);
+    m_rest.remove_prefix(*length);
+    return text;
+}
+
+std::optional<std::size_t> MsgpackReader::readArraySize()
+{
+    const std::optional<std::uint8_t> head = takeByte();
+    std::optional<std::uint64_t> size;
+    if (head && (*head & 0xf0U) == 0x90U) {
+        size = *head & 0x0fU;
+    } else if (head == Array16) {
+        size = takeBigEndian(2);
+    } else if (head == Array32) {
+        size = takeBigEndian(4);
+    }
+    // Each element takes at least one byte.
+    if (!size || *size > m_rest.size()) {
+        return std::nullopt;
+    }
+    return size;
+}
+
+bool MsgpackReader::skipNil()
+{
+    return takeByte() == Nil;
+}
+
+} // namespace wisteriafork
