Compose NodeCore from admission, routing, ownership and distribution

Cause: the first NodeCore placed calls without limits. This one takes calls through edge checks, placement, admission, crash guard and ownership.

--- a/src/core/node/action.h
+++ b/src/core/node/action.h
@@ -26,6 +26,8 @@
 {
     CallId id = 0;
     NodeId to;
+    // Address of the receiver's peer listener, "127.0.0.1:7101".
+    std::string address;
     ForwardMode mode = ForwardMode::Serve;
     Duration remaining{0};
     std::uint32_t attemptsLeft = 0;
@@ -108,12 +110,19 @@
     Decision decision;
 };
 
+// Send one more `Tick` at the given time, beside the regular ones.
+struct ScheduleTick
+{
+    TimePoint at;
+};
+
 // Nothing is in flight any more and all records are handed over; the process may exit.
 struct DrainComplete
 {
 };
 
-using Action = std::variant<RunLocal, ForwardCall, RespondRefused, RelayAnswer, StoreAnswer, RespondStored, DropStoredAnswer, CancelLocal,
-                            CancelForward, SendPeerMessage, ReadPlatformValue, StartWatch, StopWatch, RecordDecision, DrainComplete>;
+using Action
+    = std::variant<RunLocal, ForwardCall, RespondRefused, RelayAnswer, StoreAnswer, RespondStored, DropStoredAnswer, CancelLocal,
+                   CancelForward, SendPeerMessage, ReadPlatformValue, StartWatch, StopWatch, RecordDecision, ScheduleTick, DrainComplete>;
 
 } // namespace wisteriafork
--- /dev/null
+++ b/src/core/node/localrunner.cpp
@@ -0,0 +1,176 @@
+#include "core/node/localrunner.h"
+
+#include <utility>
+
+namespace wisteriafork {
+
+namespace {
+
+CallOutcome outcomeOf(ServerFailure failure)
+{
+    switch (failure) {
+    case ServerFailure::ConnectionRefused:
+    case ServerFailure::Overloaded:
+        return CallOutcome::Overloaded;
+    case ServerFailure::ConnectionBroken:
+        return CallOutcome::Failed;
+    case ServerFailure::TimedOut:
+        break;
+    }
+    return CallOutcome::TimedOut;
+}
+
+Refusal refusalOf(ServerFailure failure)
+{
+    switch (failure) {
+    case ServerFailure::ConnectionRefused:
+        return {.kind = RefusalKind::NotRun, .reason = RefusalReason::ServerFailed};
+    case ServerFailure::Overloaded:
+        return {.kind = RefusalKind::NotRun, .reason = RefusalReason::Overloaded};
+    case ServerFailure::ConnectionBroken:
+    case ServerFailure::TimedOut:
+        break;
+    }
+    return {.kind = RefusalKind::OutcomeUnknown, .reason = RefusalReason::ServerFailed};
+}
+
+} // namespace
+
+LocalRunner::LocalRunner(NodeParts &parts, AttemptObserver &observer) : m_parts(parts), m_observer(observer)
+{
+}
+
+void LocalRunner::run(CallState &state)
+{
+    apply(state, m_parts.admission.offer(state.call));
+}
+
+void LocalRunner::apply(CallState &state, const AdmissionResult &result)
+{
+    switch (result.verdict) {
+    case AdmissionVerdict::Run:
+        start(state);
+        return;
+    case AdmissionVerdict::Queued:
+        state.stage = CallStage::Queued;
+        m_parts.recordDecision(state, DecisionKind::Queued, m_parts.self(), "all slots of the limit are in use");
+        return;
+    case AdmissionVerdict::Refused:
+        endRefused(state, result.refusal);
+        return;
+    }
+}
+
+void LocalRunner::start(CallState &state)
+{
+    switch (m_parts.crashGuard.start(state.call.id, state.call.fingerprint)) {
+    case CrashVerdict::Run:
+    case CrashVerdict::RunAlone:
+        break;
+    case CrashVerdict::Wait:
+        m_parts.admission.cancel(state.call.id);
+        state.stage = CallStage::HeldAsSuspect;
+        m_held.push_back(state.call.id);
+        m_parts.recordDecision(state, DecisionKind::Queued, m_parts.self(), "another suspected request is running");
+        return;
+    case CrashVerdict::Refuse:
+        m_parts.admission.cancel(state.call.id);
+        endRefused(state, {.kind = RefusalKind::OutcomeUnknown, .reason = RefusalReason::SuspectedOfCrash});
+        return;
+    }
+    const OperationConfiguration *operation = m_parts.configuration.operation(state.call.service, state.call.operation);
+    CallDescription handed = state.call;
+    handed.attemptsLeft = state.budget.startAttempt();
+    m_parts.attribution.started(handed, state.traceId, operation == nullptr ? 0 : static_cast<std::uint32_t>(operation->calls.size()));
+    state.stage = CallStage::RunningLocally;
+    state.sentAt = m_parts.clock.now();
+    m_parts.recordDecision(state, DecisionKind::RunLocally, m_parts.self(), "admitted to the local backend server");
+    m_parts.actions.add(
+        RunLocal{.id = state.call.id, .remaining = state.call.deadline - m_parts.clock.now(), .attemptsLeft = handed.attemptsLeft});
+}
+
+void LocalRunner::release(CallState &state, CallOutcome outcome)
+{
+    const Duration waited = m_parts.attribution.finished(state.call.id, m_parts.clock.now());
+    m_parts.admission.finish(state.call.id, outcome, waited);
+}
+
+void LocalRunner::endRefused(CallState &state, const Refusal &refusal)
+{
+    m_observer.localAttemptEnded(state, AttemptRefused{.refusal = refusal});
+}
+
+void LocalRunner::cancel(CallState &state)
+{
+    if (state.stage == CallStage::Queued) {
+        m_parts.admission.cancel(state.call.id);
+    } else if (state.stage == CallStage::HeldAsSuspect) {
+        std::erase(m_held, state.call.id);
+    } else if (state.stage == CallStage::RunningLocally) {
+        m_parts.attribution.finished(state.call.id, m_parts.clock.now());
+        m_parts.admission.cancel(state.call.id);
+        m_parts.crashGuard.abandoned(state.call.id);
+        m_parts.actions.add(CancelLocal{.id = state.call.id});
+    }
+    poll();
+}
+
+void LocalRunner::on(const ServerAnswered &event)
+{
+    CallState *state = m_parts.calls.find(event.id);
+    if (state == nullptr || state->stage != CallStage::RunningLocally) {
+        return;
+    }
+    release(*state, CallOutcome::Completed);
+    m_parts.crashGuard.completed(event.id);
+    m_observer.localAttemptEnded(*state, AttemptAnswered{.status = event.status, .answerBytes = event.answerBytes});
+    poll();
+}
+
+void LocalRunner::on(const ServerFailed &event)
+{
+    CallState *state = m_parts.calls.find(event.id);
+    if (state == nullptr || state->stage != CallStage::RunningLocally) {
+        return;
+    }
+    release(*state, outcomeOf(event.failure));
+    if (event.failure == ServerFailure::ConnectionBroken) {
+        m_parts.crashGuard.connectionBroken(event.id);
+    } else {
+        m_parts.crashGuard.abandoned(event.id);
+    }
+    if (event.failure == ServerFailure::ConnectionRefused) {
+        m_parts.crashGuard.connectionRefused();
+        m_parts.admission.serverRestarted();
+    }
+    endRefused(*state, refusalOf(event.failure));
+    poll();
+}
+
+void LocalRunner::poll()
+{
+    for (const AdmissionResult &result : m_parts.admission.poll()) {
+        if (CallState *state = m_parts.calls.find(result.id)) {
+            apply(*state, result);
+        }
+    }
+    offerHeldCalls();
+}
+
+void LocalRunner::offerHeldCalls()
+{
+    const std::vector<CallId> held = std::exchange(m_held, {});
+    for (const CallId id : held) {
+        CallState *state = m_parts.calls.find(id);
+        if (state == nullptr) {
+            continue;
+        }
+        if (m_parts.clock.now() >= state->call.deadline) {
+            endRefused(*state, {.kind = RefusalKind::NotRun, .reason = RefusalReason::DeadlineTooShort});
+        } else {
+            run(*state);
+        }
+    }
+}
+
+} // namespace wisteriafork
--- a/src/core/node/nodecore.h
+++ b/src/core/node/nodecore.h
@@ -1,29 +1,21 @@
 #pragma once
 
 #include "core/base/clock.h"
-#include "core/base/memberinfo.h"
-#include "core/base/random.h"
-#include "core/config/configuration.h"
+#include "core/distribution/distributionstatus.h"
 #include "core/node/action.h"
 #include "core/node/event.h"
+#include "core/node/nodeoptions.h"
 
 #include <memory>
-#include <optional>
 #include <vector>
 
 namespace wisteriafork {
 
-struct NodeOptions
-{
-    // This instance: name, incarnation, service, failure domain and peer address.
-    MemberInfo self;
-    std::uint64_t seed = 1;
-    // Configuration that is in force from the start, for fixed set-ups and tests.
-    std::optional<Configuration> initialConfiguration;
-};
+class Membership;
+class Ownership;
 
-// All decisions of one node. It takes events from a shell that does the I/O and returns what the shell is to do. Not thread safe; the shell
-// calls it under one lock. Has no sockets, threads, wall clock, files or global state.
+// All decisions of one node. It takes events from a shell that does the I/O and returns what the shell is to do, in order. Not thread safe;
+// the shell calls it under one lock. Has no sockets, threads, wall clock, files or global state.
 class NodeCore
 {
 public:
@@ -36,6 +28,10 @@
 
     // Configuration in force; null before the first one.
     const Configuration *configuration() const;
+    // State of configuration and host lists for the status page.
+    DistributionStatus distributionStatus() const;
+    const Membership &membership() const;
+    const Ownership &ownership() const;
 
 private:
     class Private;
--- a/src/core/routing/candidate.h
+++ b/src/core/routing/routecandidate.h
@@ -5,7 +5,7 @@
 namespace wisteriafork {
 
 // An instance that a call may be sent to, as the membership sees it. Refers to the entry of the host list for the time of a call only.
-struct Candidate
+struct RouteCandidate
 {
     const MemberInfo &member;
     bool suspected = false;
--- a/src/core/routing/router.h
+++ b/src/core/routing/router.h
@@ -4,7 +4,7 @@
 #include "core/base/ids.h"
 #include "core/base/loadreport.h"
 #include "core/base/random.h"
-#include "core/routing/candidate.h"
+#include "core/routing/routecandidate.h"
 #include "core/routing/routechoice.h"
 #include "core/routing/routeroptions.h"
 
@@ -27,7 +27,7 @@
     Router &operator=(const Router &) = delete;
 
     // Replaces the instances of a service. Suspected and leaving ones are never chosen. Knowledge of instances that stay is kept.
-    void update(const ServiceId &service, std::span<const Candidate> candidates);
+    void update(const ServiceId &service, std::span<const RouteCandidate> candidates);
 
     // Instance for a call, none if all are excluded. `avoidDomain` is the failure domain of a failed attempt: others are preferred.
     std::optional<RouteChoice> choose(const ServiceId &service, std::span<const NodeId> excluded = {},
