--- /dev/null
+++ b/src/core/overload/admissioncontroller.cpp
@@ -0,0 +1,406 @@
+#include "core/overload/admissioncontroller.h"
+
+#include "core/overload/callqueue.h"
+#include "core/overload/concurrencylimit.h"
+#include "core/overload/isolation.h"
+#include "core/overload/levelcontroller.h"
+#include "core/overload/operationprofile.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <optional>
+#include <unordered_map>
+
+namespace wisteriafork {
+
+namespace {
+
+// Weight of one call in the mean holding time.
+constexpr double HoldingWeight = 0.05;
+// A holding time that was not measured for this long no longer refuses calls, so that one call measures it again.
+constexpr Duration HoldingMemory = std::chrono::seconds(1);
+constexpr Duration ShortestRetryAfter = std::chrono::seconds(1);
+// Level that admits critical calls only.
+constexpr double CriticalOnlyScale = CutsPerClass;
+
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+Duration fromSeconds(double value)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
+}
+
+CallRank rankOf(const CallDescription &call)
+{
+    if (call.callClass == CallClass::Critical) {
+        return CallRank::Critical;
+    }
+    if (call.internal) {
+        return CallRank::Internal;
+    }
+    return call.callClass == CallClass::Read ? CallRank::Read : CallRank::Bulk;
+}
+
+} // namespace
+
+class AdmissionController::Private
+{
+public:
+    struct RunningCall
+    {
+        std::size_t operation = 0;
+        TimePoint started;
+    };
+
+    Private(AdmissionOptions admissionOptions, const Clock &nodeClock)
+        : options(admissionOptions)
+        , clock(nodeClock)
+        , limit(options.limit, clock)
+        , level(options.level, clock)
+        , queue(options.order, options.fairnessEnabled)
+        , isolation(options.isolationShare, options.isolationEnabled)
+    {
+        operations.resize(1);
+    }
+
+    std::size_t operationIndex(const OperationId &id) const;
+    std::size_t tenantIndex(const TenantId &id) const;
+    AdmissionResult decide(const CallDescription &call);
+    AdmissionResult decideCritical(const CallDescription &call, std::size_t operation, bool mustWait);
+    std::optional<Refusal> checkLoad(const CallDescription &call, std::size_t operation) const;
+    bool cannotFinish(const OperationProfile &operation, TimePoint deadline, double wait) const;
+    double expectedWait(CallRank rank, std::size_t operation) const;
+    double capacity() const;
+    bool hasFreeSlot() const;
+    void start(CallId id, std::size_t operation);
+    void enqueue(const CallDescription &call, std::size_t operation);
+    void makeRoom(CallRank rank);
+    void refuseWaiting(CallId id, RefusalReason reason);
+    void refuseLate();
+    void refreshBlocked();
+    void updateLevel();
+    Refusal refusal(RefusalReason reason) const;
+
+    AdmissionOptions options;
+    const Clock &clock;
+    ConcurrencyLimit limit;
+    LevelController level;
+    CallQueue queue;
+    Isolation isolation;
+    std::vector<OperationProfile> operations;
+    std::map<OperationId, std::size_t> operationIndexes;
+    std::map<TenantId, std::size_t> tenantIndexes;
+    std::unordered_map<CallId, RunningCall> running;
+    std::vector<AdmissionResult> pending;
+    std::vector<bool> blocked;
+    // Mean time that a call holds a slot, in seconds.
+    double holdingTime = 0.0;
+};
+
+AdmissionController::AdmissionController(AdmissionOptions options, const Clock &clock) : d(std::make_unique<Private>(options, clock))
+{
+    d->limit.setSlots(1, 1);
+}
+
+AdmissionController::~AdmissionController() = default;
+
+void AdmissionController::configure(const ServiceConfiguration &service, std::span<const TenantConfiguration> tenants)
+{
+    // Index 0 stands for calls of unknown operations and tenants. Indexes are only added, because running calls refer to them.
+    for (const OperationConfiguration &operation : service.operations) {
+        const auto [entry, inserted] = d->operationIndexes.emplace(operation.id, d->operations.size());
+        if (inserted) {
+            d->operations.emplace_back();
+            d->operations.back().id = operation.id;
+        }
+        OperationProfile &profile = d->operations[entry->second];
+        if (profile.running == 0) {
+            profile.dependencies.clear();
+            for (const ServiceId &callee : operation.calls) {
+                profile.dependencies.push_back(d->isolation.dependencyIndex(callee));
+            }
+        }
+    }
+    for (const TenantConfiguration &tenant : tenants) {
+        d->tenantIndexes.emplace(tenant.id, d->tenantIndexes.size() + 1);
+    }
+    std::vector<double> weights(d->tenantIndexes.size() + 1, 1.0);
+    for (const TenantConfiguration &tenant : tenants) {
+        weights[d->tenantIndexes.at(tenant.id)] = std::max(tenant.weight, 1e-6);
+    }
+    d->queue.setTenants(std::move(weights));
+    d->limit.setSlots(service.slots, d->operations.size());
+    d->refreshBlocked();
+}
+
+AdmissionResult AdmissionController::offer(const CallDescription &call)
+{
+    d->updateLevel();
+    return d->decide(call);
+}
+
+void AdmissionController::finish(CallId id, CallOutcome outcome, Duration waitedBelow)
+{
+    const auto found = d->running.find(id);
+    if (found == d->running.end()) {
+        return;
+    }
+    const Private::RunningCall call = found->second;
+    const Duration held = d->clock.now() - call.started;
+    d->limit.finished(call.operation, std::max(Duration(0), held - waitedBelow), outcome, static_cast<unsigned>(d->running.size()),
+                      call.started);
+    OperationProfile &operation = d->operations[call.operation];
+    if (outcome == CallOutcome::Completed || outcome == CallOutcome::TimedOut) {
+        const double sample = seconds(held);
+        operation.holdingTime += (operation.holdingTime <= 0.0 ? 1.0 : HoldingWeight) * (sample - operation.holdingTime);
+        operation.lastSample = d->clock.now();
+        d->holdingTime += (d->holdingTime <= 0.0 ? 1.0 : HoldingWeight) * (sample - d->holdingTime);
+    }
+    d->running.erase(found);
+    --operation.running;
+    d->isolation.ended(operation);
+    d->refreshBlocked();
+}
+
+bool AdmissionController::cancel(CallId id)
+{
+    if (d->queue.remove(id)) {
+        return false;
+    }
+    std::erase_if(d->pending, [id](const AdmissionResult &result) { return result.id == id; });
+    if (!d->running.contains(id)) {
+        return false;
+    }
+    finish(id, CallOutcome::Cancelled);
+    return true;
+}
+
+std::vector<AdmissionResult> AdmissionController::poll()
+{
+    d->updateLevel();
+    d->refuseLate();
+    while (d->hasFreeSlot()) {
+        const std::optional<WaitingCall> next = d->queue.pop(d->blocked);
+        if (!next) {
+            break;
+        }
+        d->start(next->id, next->operation);
+        d->pending.push_back({.id = next->id, .verdict = AdmissionVerdict::Run, .refusal = {}});
+    }
+    return std::exchange(d->pending, {});
+}
+
+void AdmissionController::serverLoadRead(std::uint32_t running, std::uint32_t slots)
+{
+    d->limit.hint(running, slots, static_cast<unsigned>(d->running.size()));
+}
+
+void AdmissionController::serverRestarted()
+{
+    d->limit.restart();
+}
+
+LoadReport AdmissionController::report()
+{
+    d->updateLevel();
+    LoadReport load;
+    load.limit = d->limit.limit();
+    load.running = static_cast<std::uint32_t>(d->running.size());
+    load.queued = static_cast<std::uint32_t>(d->queue.size());
+    load.serviceTime = fromSeconds(d->holdingTime);
+    load.level = d->options.levelEnabled ? d->level.nextLevel() : AdmissionLevel{};
+    return load;
+}
+
+std::size_t AdmissionController::runningCount() const
+{
+    return d->running.size();
+}
+
+std::size_t AdmissionController::queuedCount() const
+{
+    return d->queue.size();
+}
+
+std::size_t AdmissionController::Private::operationIndex(const OperationId &id) const
+{
+    const auto found = operationIndexes.find(id);
+    return found == operationIndexes.end() ? 0 : found->second;
+}
+
+std::size_t AdmissionController::Private::tenantIndex(const TenantId &id) const
+{
+    const auto found = tenantIndexes.find(id);
+    return found == tenantIndexes.end() ? 0 : found->second;
+}
+
+AdmissionResult AdmissionController::Private::decide(const CallDescription &call)
+{
+    const std::size_t operation = operationIndex(call.operation);
+    operations[operation].lastOffered = clock.now();
+    const CallRank rank = options.priorityEnabled ? rankOf(call) : CallRank::Read;
+    const bool isBlocked = operation < blocked.size() && blocked[operation];
+    const bool mustWait = !hasFreeSlot() || isBlocked || (queue.size() > 0 && queue.hasEligible(rank, blocked));
+    if (rank == CallRank::Critical) {
+        return decideCritical(call, operation, mustWait);
+    }
+    if (const std::optional<Refusal> refused = checkLoad(call, operation)) {
+        return {.id = call.id, .verdict = AdmissionVerdict::Refused, .refusal = *refused};
+    }
+    level.arrived(call.callClass);
+    if (!mustWait) {
+        start(call.id, operation);
+        return {.id = call.id, .verdict = AdmissionVerdict::Run, .refusal = {}};
+    }
+    if (queue.size() >= options.queueLimit) {
+        makeRoom(rank);
+        if (queue.size() >= options.queueLimit) {
+            return {.id = call.id, .verdict = AdmissionVerdict::Refused, .refusal = refusal(RefusalReason::Overloaded)};
+        }
+    }
+    enqueue(call, operation);
+    return {.id = call.id, .verdict = AdmissionVerdict::Queued, .refusal = {}};
+}
+
+// A critical call is refused for load only when no read is admitted any more: the first one that would have to be refused closes the level
+// for all other classes, and waits.
+AdmissionResult AdmissionController::Private::decideCritical(const CallDescription &call, std::size_t operation, bool mustWait)
+{
+    level.arrived(call.callClass);
+    if (options.deadlineCheckEnabled && cannotFinish(operations[operation], call.deadline, 0.0)) {
+        return {.id = call.id, .verdict = AdmissionVerdict::Refused, .refusal = refusal(RefusalReason::DeadlineTooShort)};
+    }
+    if (!mustWait) {
+        start(call.id, operation);
+        return {.id = call.id, .verdict = AdmissionVerdict::Run, .refusal = {}};
+    }
+    const bool late
+        = options.deadlineCheckEnabled && cannotFinish(operations[operation], call.deadline, expectedWait(CallRank::Critical, operation));
+    if (late || queue.size() >= options.queueLimit) {
+        makeRoom(CallRank::Critical);
+        const bool othersAdmitted = level.scale() > CriticalOnlyScale;
+        level.tighten(CriticalOnlyScale);
+        if (!othersAdmitted) {
+            return {.id = call.id, .verdict = AdmissionVerdict::Refused, .refusal = refusal(RefusalReason::Overloaded)};
+        }
+    }
+    enqueue(call, operation);
+    return {.id = call.id, .verdict = AdmissionVerdict::Queued, .refusal = {}};
+}
+
+std::optional<Refusal> AdmissionController::Private::checkLoad(const CallDescription &call, std::size_t operation) const
+{
+    if (options.levelEnabled && !call.internal && !admits(level.scale(), call.callClass, call.requestHash)) {
+        return refusal(RefusalReason::Overloaded);
+    }
+    const CallRank rank = options.priorityEnabled ? rankOf(call) : CallRank::Read;
+    if (options.deadlineCheckEnabled && cannotFinish(operations[operation], call.deadline, expectedWait(rank, operation))) {
+        return refusal(RefusalReason::DeadlineTooShort);
+    }
+    return std::nullopt;
+}
+
+bool AdmissionController::Private::cannotFinish(const OperationProfile &operation, TimePoint deadline, double wait) const
+{
+    const TimePoint now = clock.now();
+    const bool known = now - operation.lastSample < HoldingMemory || operation.running > 0;
+    const double needed = wait + (known ? operation.holdingTime : 0.0);
+    return now + fromSeconds(needed) > deadline;
+}
+
+double AdmissionController::Private::expectedWait(CallRank rank, std::size_t operation) const
+{
+    const double rate = capacity();
+    if (hasFreeSlot() || rate <= 0.0) {
+        // Calls that are held back for isolation wait for calls of their own operation.
+        const OperationProfile &profile = operations[operation];
+        const bool isBlocked = operation < blocked.size() && blocked[operation];
+        return isBlocked && profile.running > 0 ? queue.countOfOperation(operation) * profile.holdingTime / profile.running : 0.0;
+    }
+    return static_cast<double>(queue.countFrom(rank)) / rate;
+}
+
+double AdmissionController::Private::capacity() const
+{
+    return holdingTime > 0.0 ? limit.limit() / holdingTime : 0.0;
+}
+
+bool AdmissionController::Private::hasFreeSlot() const
+{
+    return running.size() < limit.limit();
+}
+
+void AdmissionController::Private::start(CallId id, std::size_t operation)
+{
+    running.emplace(id, RunningCall{.operation = operation, .started = clock.now()});
+    ++operations[operation].running;
+    isolation.started(operations[operation]);
+    refreshBlocked();
+}
+
+void AdmissionController::Private::enqueue(const CallDescription &call, std::size_t operation)
+{
+    queue.push({.id = call.id,
+                .rank = options.priorityEnabled ? rankOf(call) : CallRank::Read,
+                .tenant = tenantIndex(call.tenant),
+                .operation = operation,
+                .callerHash = call.callerHash,
+                .deadline = call.deadline});
+}
+
+void AdmissionController::Private::makeRoom(CallRank rank)
+{
+    // A critical call that finds the queue too long puts out all reads; others put out one call of a lower rank.
+    do {
+        const std::optional<WaitingCall> lowest = queue.takeLowestBelow(rank == CallRank::Critical ? CallRank::Internal : rank);
+        if (!lowest) {
+            return;
+        }
+        refuseWaiting(lowest->id, RefusalReason::Overloaded);
+    } while (rank == CallRank::Critical);
+}
+
+void AdmissionController::Private::refuseWaiting(CallId id, RefusalReason reason)
+{
+    pending.push_back({.id = id, .verdict = AdmissionVerdict::Refused, .refusal = refusal(reason)});
+}
+
+void AdmissionController::Private::refuseLate()
+{
+    if (!options.deadlineCheckEnabled) {
+        return;
+    }
+    // The least that any call needs is its own holding time; half the mean leaves room for its spread.
+    const TimePoint latest = clock.now() + fromSeconds(holdingTime / 2);
+    while (const std::optional<WaitingCall> late = queue.takeExpired(latest)) {
+        if (late->rank == CallRank::Critical) {
+            level.tighten(CriticalOnlyScale);
+        }
+        refuseWaiting(late->id, RefusalReason::DeadlineTooShort);
+    }
+}
+
+void AdmissionController::Private::refreshBlocked()
+{
+    isolation.markBlocked(operations, limit.limit(), clock.now(), blocked);
+}
+
+void AdmissionController::Private::updateLevel()
+{
+    if (options.levelEnabled) {
+        level.update(static_cast<double>(queue.size()), capacity());
+    }
+}
+
+Refusal AdmissionController::Private::refusal(RefusalReason reason) const
+{
+    const double rate = capacity();
+    const Duration drained = rate > 0.0 ? fromSeconds(static_cast<double>(queue.size()) / rate) : Duration(0);
+    return {.kind = RefusalKind::NotRun, .reason = reason, .retryAfter = std::max(ShortestRetryAfter, drained)};
+}
+
+} // namespace wisteriafork
--- a/src/core/routing/routeroptions.h
+++ b/src/core/routing/routeroptions.h
@@ -3,7 +3,6 @@
 #include "core/base/clock.h"
 
 #include <chrono>
-#include <cstddef>
 
 namespace wisteriafork {
 
@@ -15,8 +14,6 @@
     Duration assumedDomainCost = std::chrono::milliseconds(10);
     // Weight of the measured extra time: links between failure domains also cost more and lose packets.
     double domainCostFactor = 1.5;
-    // Random draws for an instance that is not excluded before the search falls back to a scan of the exclusions' complement.
-    std::size_t draws = 4;
 
     // If off, one instance is drawn at random.
     bool powerOfTwo = true;
