--- a/src/core/routing/router.cpp
+++ b/src/core/routing/router.cpp
@@ -70,12 +70,12 @@
 
 Router::~Router() = default;
 
-void Router::update(const ServiceId &service, std::span<const Candidate> candidates)
+void Router::update(const ServiceId &service, std::span<const RouteCandidate> candidates)
 {
     Private::Pool &pool = d->pools[service];
     Private::Pool next;
     for (const bool local : {true, false}) {
-        for (const Candidate &candidate : candidates) {
+        for (const RouteCandidate &candidate : candidates) {
             if (candidate.suspected || candidate.leaving || (candidate.member.domain == d->ownDomain) != local) {
                 continue;
             }
