--- a/tests/node/fleet.cpp
+++ b/tests/node/fleet.cpp
@@ -49,6 +49,8 @@
     }
 }
 
+Fleet::~Fleet() = default;
+
 void Fleet::schedule(Duration delay, std::function<void()> action)
 {
     m_queue.emplace(m_clock.now() + delay, std::move(action));
--- a/tests/node/fleet.h
+++ b/tests/node/fleet.h
@@ -37,6 +37,7 @@
     };
 
     explicit Fleet(Options options);
+    ~Fleet();
 
     // Sends a request of a caller to a node; the result is kept under the returned number.
     std::size_t send(const NodeId &node, const std::string &service, const std::string &operation, const std::string &identity);
