Implement the at-most-once protocol

Ownership composes small parts: the view of the service's owners, the join with changes of witnesses, fences, claims, the records and the release.

--- a/src/core/ownership/claimmessages.h
+++ b/src/core/ownership/claimmessages.h
@@ -33,15 +33,17 @@
     // Incarnation of the witness that the term names; a restarted witness has lost its claims and refuses.
     Incarnation witness = 0;
     std::uint64_t term = 0;
+    // Returned in the answer, so that the owner knows when the answered message was sent.
+    std::uint64_t sequence = 0;
     std::vector<ClaimEntry> entries;
 
     auto fields()
     {
-        return std::tie(owner, witness, term, entries);
+        return std::tie(owner, witness, term, sequence, entries);
     }
     auto fields() const
     {
-        return std::tie(owner, witness, term, entries);
+        return std::tie(owner, witness, term, sequence, entries);
     }
 };
 
@@ -50,15 +52,16 @@
     MemberId owner;
     MemberId witness;
     std::uint64_t term = 0;
+    std::uint64_t sequence = 0;
     std::vector<RequestKey> keys;
 
     auto fields()
     {
-        return std::tie(owner, witness, term, keys);
+        return std::tie(owner, witness, term, sequence, keys);
     }
     auto fields() const
     {
-        return std::tie(owner, witness, term, keys);
+        return std::tie(owner, witness, term, sequence, keys);
     }
 };
 
--- a/src/core/ownership/joinmessages.h
+++ b/src/core/ownership/joinmessages.h
@@ -74,22 +74,23 @@
     }
 };
 
-// Asks a member to accept the sender as an owner with the given witnesses.
+// Asks a member to accept the sender as an owner with the witnesses of the last term given.
 struct Join
 {
     MemberAddress sender;
-    WitnessTerm term;
+    // All terms that the sender uses, and last the new one. Terms that it gave up before using them are not listed.
+    std::vector<WitnessTerm> terms;
     std::optional<Incarnation> replaces;
     // Incarnations that the sender holds to be fenced. The receiver accepts no further joins from them.
     std::vector<MemberId> excluded;
 
     auto fields()
     {
-        return std::tie(sender, term, replaces, excluded);
+        return std::tie(sender, terms, replaces, excluded);
     }
     auto fields() const
     {
-        return std::tie(sender, term, replaces, excluded);
+        return std::tie(sender, terms, replaces, excluded);
     }
 };
 
--- /dev/null
+++ b/src/core/ownership/joinprocess.cpp
@@ -0,0 +1,276 @@
+#include "core/ownership/joinprocess.h"
+
+#include "core/ownership/witnesschoice.h"
+
+#include <algorithm>
+
+namespace wisteriafork {
+
+JoinProcess::JoinProcess(const OwnershipOptions &options, const OwnerView &view, TimePoint now)
+    : m_options(options)
+    , m_view(view)
+    , m_startedAt(now)
+    , m_probeTimer(options.resendInterval, options.maximumResendInterval)
+    , m_joinTimer(options.resendInterval, options.maximumResendInterval)
+    , m_commitTimer(options.resendInterval, options.maximumResendInterval)
+{
+}
+
+bool JoinProcess::joined() const
+{
+    return !m_inUse.empty();
+}
+
+bool JoinProcess::joining() const
+{
+    return m_inUse.empty() && m_pending.has_value();
+}
+
+bool JoinProcess::acceptsAcknowledgement(std::uint64_t term) const
+{
+    return m_pending && m_pending->term == term;
+}
+
+void JoinProcess::acknowledged(const MemberId &member, OwnerStage stage)
+{
+    m_acknowledged.insert(member);
+    m_joinedMemberSeen = m_joinedMemberSeen || stage != OwnerStage::Joining;
+}
+
+void JoinProcess::probeAnswered(const MemberId &member, TimePoint now)
+{
+    m_probeAnswers[member] = now;
+}
+
+void JoinProcess::seed(const MemberAddress &member)
+{
+    m_seeds[member.id] = member;
+}
+
+void JoinProcess::witnessLost(const MemberId &witness)
+{
+    m_lostWitnesses.insert(witness);
+}
+
+void JoinProcess::requestNewTerm()
+{
+    m_newTermRequested = true;
+}
+
+void JoinProcess::forgetAnswers()
+{
+    m_probeAnswers.clear();
+    m_probeTimer.reset();
+    m_joinTimer.reset();
+    if (!joined()) {
+        m_acknowledged.clear();
+        m_joinedMemberSeen = false;
+    }
+}
+
+const std::vector<WitnessTerm> &JoinProcess::termsInUse() const
+{
+    return m_inUse;
+}
+
+bool JoinProcess::usable(const MemberId &witness) const
+{
+    return !m_lostWitnesses.contains(witness) && !m_view.excluded(witness) && !m_view.listSaysGone(witness);
+}
+
+std::vector<MemberAddress> JoinProcess::candidates() const
+{
+    std::vector<MemberAddress> live;
+    std::vector<MemberAddress> leaving;
+    for (const MemberInfo &member : m_view.list().members) {
+        const MemberAddress address{
+            .id = {.name = member.name, .incarnation = member.incarnation}, .domain = member.domain, .peerAddress = member.peerAddress};
+        if (member.name == m_options.self.name || !usable(address.id)) {
+            continue;
+        }
+        (member.state == ListedState::Live ? live : leaving).push_back(address);
+    }
+    return live.size() >= WitnessCount || leaving.empty() ? live : [&] {
+        live.insert(live.end(), leaving.begin(), leaving.end());
+        return live;
+    }();
+}
+
+std::vector<MemberAddress> JoinProcess::needed() const
+{
+    std::map<MemberId, MemberAddress> result;
+    const auto add = [this, &result](const MemberAddress &address) {
+        if (address.id != m_view.self().id && !m_view.excluded(address.id)) {
+            result[address.id] = address;
+        }
+    };
+    if (!joined()) {
+        for (const MemberInfo &member : m_view.list().members) {
+            if (member.name != m_options.self.name) {
+                add({.id = {.name = member.name, .incarnation = member.incarnation},
+                     .domain = member.domain,
+                     .peerAddress = member.peerAddress});
+            }
+        }
+    }
+    for (const auto &[id, address] : m_seeds) {
+        add(address);
+    }
+    for (const OwnerEntry *owner : m_view.owners()) {
+        add(owner->address);
+    }
+    if (m_pending) {
+        for (const MemberId &witness : m_pending->witnesses) {
+            if (const OwnerEntry *entry = m_view.find(witness)) {
+                add(entry->address);
+            }
+        }
+    }
+    std::vector<MemberAddress> addresses;
+    for (const auto &[id, address] : result) {
+        addresses.push_back(address);
+    }
+    return addresses;
+}
+
+bool JoinProcess::needsNewTerm() const
+{
+    if (m_pending) {
+        return !std::all_of(m_pending->witnesses.begin(), m_pending->witnesses.end(),
+                            [this](const MemberId &witness) { return usable(witness); });
+    }
+    if (!joined() || m_newTermRequested) {
+        return true;
+    }
+    const std::vector<MemberId> &witnesses = m_inUse.back().witnesses;
+    return witnesses.size() < std::min(WitnessCount, candidates().size())
+        || !std::all_of(witnesses.begin(), witnesses.end(), [this](const MemberId &witness) { return usable(witness); });
+}
+
+void JoinProcess::startTerm(const std::vector<MemberAddress> &candidates)
+{
+    m_pending = WitnessTerm{.term = ++m_lastTerm, .witnesses = chooseWitnesses(m_view.self(), candidates)};
+    m_newTermRequested = false;
+    m_acknowledged.clear();
+    m_joinTimer.reset();
+}
+
+bool JoinProcess::probeAll(const std::vector<MemberAddress> &members, TimePoint now, OutgoingMessages &messages)
+{
+    const Duration validity = 2 * m_options.maximumResendInterval;
+    const bool due = m_probeTimer.due(now);
+    bool all = true;
+    for (const MemberAddress &member : members) {
+        const auto answer = m_probeAnswers.find(member.id);
+        if (answer != m_probeAnswers.end() && now - answer->second < validity) {
+            continue;
+        }
+        all = false;
+        if (due) {
+            messages.push_back({member,
+                                OwnershipProbe{.sender = m_view.self(),
+                                               .stage = joined() ? OwnerStage::Joined : OwnerStage::Joining,
+                                               .answer = false,
+                                               .replaces = m_options.replaces}});
+        }
+    }
+    if (due && !all) {
+        m_probeTimer.sent(now);
+    }
+    return all;
+}
+
+void JoinProcess::sendJoins(const std::vector<MemberAddress> &members, TimePoint now, OutgoingMessages &messages)
+{
+    if (!m_joinTimer.due(now)) {
+        return;
+    }
+    m_joinTimer.sent(now);
+    Join join{.sender = m_view.self(), .terms = m_inUse, .replaces = m_options.replaces, .excluded = m_view.excludedMembers(now)};
+    join.terms.push_back(*m_pending);
+    for (const MemberAddress &member : members) {
+        // A member that has not joined yet asks again all members, because their reports on others change.
+        if (!joined() || !m_acknowledged.contains(member.id)) {
+            messages.push_back({member, join});
+        }
+    }
+}
+
+bool JoinProcess::complete(const std::vector<MemberAddress> &members, TimePoint now) const
+{
+    if (m_options.mechanisms.joinAcknowledgement) {
+        const bool all = std::all_of(members.begin(), members.end(),
+                                     [this](const MemberAddress &member) { return m_acknowledged.contains(member.id); });
+        if (!all) {
+            return false;
+        }
+    }
+    if (joined() || m_joinedMemberSeen || !m_options.mechanisms.coldStartWait) {
+        return true;
+    }
+    return now - m_startedAt >= m_options.maximumRetention + m_options.hostListLag;
+}
+
+bool JoinProcess::step(TimePoint now, OutgoingMessages &messages)
+{
+    if (!m_view.listNamesSelf()) {
+        return false;
+    }
+    sendCommits(now, messages);
+    if (needsNewTerm()) {
+        if (!joined() && !m_pending && !probeAll(needed(), now, messages)) {
+            return false;
+        }
+        startTerm(candidates());
+    }
+    if (!m_pending) {
+        return false;
+    }
+    const std::vector<MemberAddress> members = needed();
+    if (complete(members, now)) {
+        m_inUse.push_back(*m_pending);
+        m_pending.reset();
+        m_seeds.clear();
+        return true;
+    }
+    sendJoins(members, now, messages);
+    return false;
+}
+
+void JoinProcess::commit()
+{
+    m_inUse.erase(m_inUse.begin(), std::prev(m_inUse.end()));
+    m_commitMissing.clear();
+    for (const OwnerEntry *owner : m_view.owners()) {
+        m_commitMissing.insert(owner->address.id);
+    }
+    m_commitTimer.reset();
+}
+
+bool JoinProcess::committed() const
+{
+    return m_inUse.size() <= 1;
+}
+
+void JoinProcess::committedAcknowledged(const MemberId &member, std::uint64_t term)
+{
+    if (committed() && !m_inUse.empty() && m_inUse.front().term == term) {
+        m_commitMissing.erase(member);
+    }
+}
+
+void JoinProcess::sendCommits(TimePoint now, OutgoingMessages &messages)
+{
+    if (!committed() || m_commitMissing.empty() || !m_commitTimer.due(now)) {
+        return;
+    }
+    m_commitTimer.sent(now);
+    std::erase_if(m_commitMissing, [this](const MemberId &member) { return m_view.excluded(member); });
+    for (const MemberId &member : m_commitMissing) {
+        if (const OwnerEntry *entry = m_view.find(member)) {
+            messages.push_back({entry->address, JoinCommitted{.sender = m_view.self().id, .term = m_inUse.front().term}});
+        }
+    }
+}
+
+} // namespace wisteriafork
--- a/src/core/ownership/opencopies.h
+++ b/src/core/ownership/opencopies.h
@@ -17,8 +17,8 @@
     // Call on every tick of the node (100 ms).
     void tick();
 
-    // Registers a call that arrived from a caller or from the local backend server. Returns its arrival time, which is the time of the last
-    // tick if the process was paused, because the call may have waited in a socket buffer during the pause.
+    // Registers a call that arrived from a caller or from the local backend server. Returns its arrival time, which is the begin of
+    // the pause if the process was paused until just now, because the call may have waited in a socket buffer.
     TimePoint opened(CallId call, const RequestKey &key);
     void closed(CallId call);
 
@@ -33,6 +33,9 @@
 
     const Clock &m_clock;
     TimePoint m_lastTick;
+    // Begin and end of the last pause.
+    TimePoint m_pausedAt;
+    TimePoint m_resumedAt;
     std::unordered_map<CallId, Copy> m_copies;
     std::unordered_multimap<RequestKey, CallId> m_byKey;
 };
