Let a leaving member serve as a witness until it is replaced

A member that left at once took the claims of the owners that it witnessed with it. It now stays until they have committed other witnesses, for at most 5 s. The proof that an earlier incarnation has ended is derived from the host list where it names that incarnation at the own address.

--- a/src/core/ownership/joinprocess.cpp
+++ b/src/core/ownership/joinprocess.cpp
@@ -171,7 +171,7 @@
                                 OwnershipProbe{.sender = m_view.self(),
                                                .stage = joined() ? OwnerStage::Joined : OwnerStage::Joining,
                                                .answer = false,
-                                               .replaces = m_options.replaces}});
+                                               .replaces = m_view.replaces()}});
         }
     }
     if (due && !all) {
@@ -186,7 +186,7 @@
         return;
     }
     m_joinTimer.sent(now);
-    Join join{.sender = m_view.self(), .terms = m_inUse, .replaces = m_options.replaces, .excluded = m_view.excludedMembers(now)};
+    Join join{.sender = m_view.self(), .terms = m_inUse, .replaces = m_view.replaces(), .excluded = m_view.excludedMembers(now)};
     join.terms.push_back(*m_pending);
     for (const MemberAddress &member : members) {
         // A member that has not joined yet asks again all members, because their reports on others change.
@@ -239,8 +239,12 @@
 
 void JoinProcess::commit()
 {
-    m_inUse.erase(m_inUse.begin(), std::prev(m_inUse.end()));
     m_commitMissing.clear();
+    for (const WitnessTerm &term : m_inUse) {
+        // A leaving witness waits until it is no longer needed.
+        m_commitMissing.insert(term.witnesses.begin(), term.witnesses.end());
+    }
+    m_inUse.erase(m_inUse.begin(), std::prev(m_inUse.end()));
     for (const OwnerEntry *owner : m_view.owners()) {
         m_commitMissing.insert(owner->address.id);
     }
@@ -265,7 +269,7 @@
         return;
     }
     m_commitTimer.sent(now);
-    std::erase_if(m_commitMissing, [this](const MemberId &member) { return m_view.excluded(member); });
+    std::erase_if(m_commitMissing, [this](const MemberId &member) { return m_view.listSaysGone(member); });
     for (const MemberId &member : m_commitMissing) {
         if (const OwnerEntry *entry = m_view.find(member)) {
             messages.push_back({entry->address, JoinCommitted{.sender = m_view.self().id, .term = m_inUse.front().term}});
--- a/src/core/ownership/ownership.cpp
+++ b/src/core/ownership/ownership.cpp
@@ -10,6 +10,8 @@
 
 // Time between ticks above which the process counts as paused.
 constexpr Duration PauseThreshold = std::chrono::seconds(1);
+// Longest time for which a leaving member waits until the owners that it witnesses have other witnesses.
+constexpr Duration WitnessDutyTime = std::chrono::seconds(5);
 
 MemberAddress addressOf(const MemberInfo &member)
 {
@@ -55,7 +57,7 @@
     : m_options(std::move(options))
     , m_clock(clock)
     , m_self{.name = m_options.self.name, .incarnation = m_options.self.incarnation}
-    , m_view(addressOf(m_options.self))
+    , m_view(addressOf(m_options.self), m_options.replaces)
     , m_witnesses(m_self, m_options.maximumWitnessRecords)
     , m_claims(m_options)
     , m_join(m_options, m_view, clock.now())
@@ -67,10 +69,11 @@
 
 OwnerStage Ownership::Private::stage() const
 {
-    if (m_leaving) {
-        return OwnerStage::Leaving;
+    // A member that leaves before it has joined must not count as one that knows all owners.
+    if (!m_join.joined()) {
+        return OwnerStage::Joining;
     }
-    return m_join.joined() ? OwnerStage::Joined : OwnerStage::Joining;
+    return m_leaving ? OwnerStage::Leaving : OwnerStage::Joined;
 }
 
 bool Ownership::Private::excluded() const
@@ -146,11 +149,12 @@
     if (m_leaving) {
         if (m_running == 0 && !m_finalRelease) {
             m_finalRelease = true;
+            m_finalReleaseAt = now;
             m_release.start(recordsForRelease());
         }
         m_release.send(m_view, now, messages);
         sendAll(std::move(messages));
-        if (m_finalRelease && !m_releaseReported && m_release.complete(m_view)) {
+        if (m_finalRelease && !m_releaseReported && m_release.complete(m_view) && witnessDutyEnded()) {
             m_releaseReported = true;
             m_outputs.emplace_back(OwnershipReleased{});
         }
@@ -221,8 +225,10 @@
     }
     const std::uint64_t term = m_claims.term().term;
     bool all = true;
-    m_records.forEach(
-        [&all, term](const RequestKey &, const Record &record) { all = all && (record.inherited || record.claimedTerm == term); });
+    m_records.forEach([&all, term](const RequestKey &, const Record &record) {
+        // A key that was never claimed cannot have run.
+        all = all && (record.inherited || record.claimedTerm == 0 || record.claimedTerm == term);
+    });
     return all;
 }
 
@@ -300,6 +306,20 @@
     }
 }
 
+bool Ownership::Private::witnessDutyEnded() const
+{
+    if (m_clock.now() - m_finalReleaseAt >= WitnessDutyTime) {
+        return true;
+    }
+    const std::vector<const OwnerEntry *> owners = m_view.owners();
+    return std::none_of(owners.begin(), owners.end(), [this](const OwnerEntry *owner) {
+        return !m_view.listSaysGone(owner->address.id)
+            && std::any_of(owner->terms.begin(), owner->terms.end(), [this](const WitnessTerm &term) {
+                   return std::find(term.witnesses.begin(), term.witnesses.end(), m_self) != term.witnesses.end();
+               });
+    });
+}
+
 void Ownership::Private::introduceToStrangers()
 {
     const TimePoint now = m_clock.now();
@@ -311,7 +331,7 @@
         const MemberAddress address = addressOf(member);
         const OwnerEntry *entry = m_view.find(address.id);
         if (address.id.name != m_self.name && entry != nullptr && !entry->known && !entry->excluded) {
-            send(address, OwnershipProbe{.sender = m_view.self(), .stage = stage(), .answer = false, .replaces = m_options.replaces});
+            send(address, OwnershipProbe{.sender = m_view.self(), .stage = stage(), .answer = false, .replaces = m_view.replaces()});
         }
     }
 }
--- a/src/core/ownership/ownershipinput.h
+++ b/src/core/ownership/ownershipinput.h
@@ -19,7 +19,8 @@
     Duration retention{0};
     // Local time at which the answer is no longer of use.
     TimePoint deadline;
-    // Node that forwarded the call; empty if it arrived here directly.
+    // Node at which the call entered the fleet, carried along with the forwarded call; empty if that is this node. Its `OpenCopies` knows
+    // when the call arrived.
     NodeId from;
     // Local arrival time as given by `OpenCopies::opened`; used if the call arrived here directly.
     TimePoint arrivedAt;
--- a/src/core/ownership/ownershipprivate.h
+++ b/src/core/ownership/ownershipprivate.h
@@ -99,6 +99,8 @@
     void fenceAsWitness(const MemberId &target, FenceProcess &fence);
     void takeClaims(const MemberId &target, const std::vector<ClaimEntry> &claims);
     void startRelease();
+    // True if no owner relies on this member as a witness any more.
+    bool witnessDutyEnded() const;
     void introduceToStrangers();
     void send(const MemberAddress &to, OwnershipMessage message);
     void sendAll(OutgoingMessages messages);
@@ -120,6 +122,7 @@
     bool m_reclaiming = false;
     bool m_finalRelease = false;
     bool m_releaseReported = false;
+    TimePoint m_finalReleaseAt;
     std::size_t m_running = 0;
     TimePoint m_lastTick;
     ResendTimer m_introductionTimer;
--- a/src/core/ownership/ownerview.h
+++ b/src/core/ownership/ownerview.h
@@ -32,7 +32,7 @@
 class OwnerView
 {
 public:
-    explicit OwnerView(MemberAddress self);
+    OwnerView(MemberAddress self, std::optional<Incarnation> replaces);
 
     // Keeps the list if it is newer than the one held; returns whether it was.
     bool takeList(const HostList &list);
@@ -54,7 +54,10 @@
     // Takes over terms from a join or a report, unless later ones are known.
     void mergeTerms(const MemberAddress &address, const std::vector<WitnessTerm> &terms);
     void commitTerm(const MemberId &id, std::uint64_t term);
-    void proveEnded(const MemberId &id, TimePoint now);
+    // The successor says that all incarnations of its instance up to this one, on its own address, have ended.
+    void proveEnded(const MemberAddress &successor, Incarnation upTo, TimePoint now);
+    // Latest earlier incarnation of this instance on its own address, which has ended because this process holds the port.
+    std::optional<Incarnation> replaces() const;
 
     // Members that may be owners, without those excluded.
     std::vector<const OwnerEntry *> owners() const;
@@ -72,6 +75,7 @@
     bool reportable(const OwnerEntry &entry, TimePoint now) const;
 
     MemberAddress m_self;
+    std::optional<Incarnation> m_replaces;
     HostList m_list;
     std::map<MemberId, OwnerEntry> m_entries;
 };
