Add distribution: version in force, dissemination and reader election

The two members of a service that rank first read its value from the configuration service; all others get it from nodes.

--- a/src/core/distribution/distributionoptions.h
+++ b/src/core/distribution/distributionoptions.h
@@ -25,6 +25,8 @@
     // Bounds on messages, bytes and reads.
     bool budgets = true;
     bool antiEntropy = true;
+    // Of two contents with the same version the one with the greater hash wins.
+    bool resolveConflicts = true;
 };
 
 // What the distribution has to know of the content of slices; supplied by the configuration component.
@@ -42,29 +44,32 @@
     std::vector<ServiceId> required;
     SliceFunctions slices;
     Duration digestInterval = std::chrono::seconds(1);
-    std::size_t fanout = 4;
+    std::size_t fanout = 6;
     // Changes of an index kept to answer pulls with a delta.
     std::size_t history = 64;
     // Time without an answer after which a value is asked for elsewhere.
     Duration pullTimeout = std::chrono::milliseconds(500);
     std::size_t pullsAtOnce = 8;
     // A starting node asks each peer up to this many times before it goes on without its answer.
-    unsigned startAttempts = 3;
+    unsigned startAttempts = 6;
     Duration startAnswerTimeout = std::chrono::milliseconds(700);
     // Time after which a starting node that nobody answers goes on with what the service gives.
     Duration startPatience = std::chrono::seconds(5);
-    // A node that knows nobody reads for itself after a random part of this time, then with exponential delays up to `maxReadDelay`.
+    // A node that got no index from others reads for itself after a random part of this time, then with exponential delays up to
+    // `maxReadDelay`. A fleet that may start cold as a whole needs at least one second for each 1,000 hosts, since the service serves 2,000
+    // reads a second.
     Duration blindReadWindow = std::chrono::seconds(2);
     Duration maxReadDelay = std::chrono::seconds(30);
     // A reader whose beacon has not grown for this time counts as gone.
-    Duration beaconTimeout = std::chrono::seconds(15);
+    Duration beaconTimeout = std::chrono::seconds(30);
     // Least time between taking up and giving up reading, so that changing views cause few changes.
     Duration readerHold = std::chrono::seconds(5);
-    // Messages and bytes that the node starts or answers with, per second and at once; the burst covers a full index.
+    // Messages and bytes that the node starts or answers with, per second and at once. The burst covers two values of the greatest size, 1
+    // MB; a message that exceeds what is left may still go, and the next ones wait.
     double messagesPerSecond = 20;
     double messageBurst = 100;
     double bytesPerSecond = 16384;
-    double byteBurst = 262144;
+    double byteBurst = 2097152;
     // Reads at the configuration service by this node.
     double readsPerSecond = 2;
     double readBurst = 8;
--- a/src/core/distribution/distributionoutput.h
+++ b/src/core/distribution/distributionoutput.h
@@ -4,6 +4,7 @@
 #include "core/base/hostlist.h"
 #include "core/distribution/indexdelta.h"
 #include "core/distribution/indexpull.h"
+#include "core/distribution/inforcepull.h"
 #include "core/distribution/valuepull.h"
 #include "core/distribution/versiondigest.h"
 
@@ -16,7 +17,7 @@
 
 namespace wisteriafork {
 
-using DistributionMessage = std::variant<VersionDigest, IndexPull, IndexDelta, ValuePull, ValueReply>;
+using DistributionMessage = std::variant<VersionDigest, IndexPull, IndexDelta, ValuePull, ValueReply, InForcePull, InForceReply>;
 
 struct SendDistributionMessage
 {
@@ -48,6 +49,8 @@
 struct ConfigurationChanged
 {
     VersionStamp stamp;
+    // False if the version differs from the one before only in slices that this node does not need.
+    bool slicesChanged = true;
     // Texts by service, `_common` among them, in the order of the names.
     std::vector<std::pair<ServiceId, std::shared_ptr<const std::string>>> slices;
 };
--- a/src/core/distribution/indexdelta.h
+++ b/src/core/distribution/indexdelta.h
@@ -4,6 +4,7 @@
 #include "core/distribution/valuefamily.h"
 #include "core/distribution/versionstamp.h"
 
+#include <string>
 #include <tuple>
 #include <vector>
 
@@ -18,14 +19,16 @@
     VersionStamp to;
     std::vector<IndexEntry> changed;
     std::vector<ServiceId> removed;
+    // Address of the sender's peer listener, for a receiver that does not have `from`.
+    std::string replyTo;
 
     auto fields()
     {
-        return std::tie(family, from, to, changed, removed);
+        return std::tie(family, from, to, changed, removed, replyTo);
     }
     auto fields() const
     {
-        return std::tie(family, from, to, changed, removed);
+        return std::tie(family, from, to, changed, removed, replyTo);
     }
 };
 
--- a/src/core/distribution/indexpull.h
+++ b/src/core/distribution/indexpull.h
@@ -3,6 +3,7 @@
 #include "core/distribution/valuefamily.h"
 #include "core/distribution/versionstamp.h"
 
+#include <string>
 #include <tuple>
 
 namespace wisteriafork {
@@ -12,14 +13,16 @@
 {
     ValueFamily family = ValueFamily::Configuration;
     VersionStamp have;
+    // Address of the sender's peer listener, for the answer.
+    std::string replyTo;
 
     auto fields()
     {
-        return std::tie(family, have);
+        return std::tie(family, have, replyTo);
     }
     auto fields() const
     {
-        return std::tie(family, have);
+        return std::tie(family, have, replyTo);
     }
 };
 
--- /dev/null
+++ b/src/core/distribution/valuefetcher.cpp
@@ -0,0 +1,222 @@
+#include "core/distribution/valuefetcher.h"
+
+#include "core/base/hashing.h"
+#include "core/membership/membership.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <random>
+
+namespace wisteriafork {
+
+namespace {
+constexpr std::size_t Readers = 2;
+constexpr Duration MissDelay = std::chrono::milliseconds(100);
+constexpr Duration MaxMissDelay = std::chrono::seconds(2);
+constexpr Duration ServiceDelay = std::chrono::milliseconds(500);
+// Attempts at peers before the configuration service is read, by part. With the delays above, 8 attempts take about 3 s.
+constexpr unsigned MemberAttempts = 6;
+constexpr unsigned FirstCallerAttempts = 5;
+constexpr unsigned CallerAttempts = 8;
+constexpr unsigned StartAttempts = 2;
+constexpr unsigned MaxBackoffDoublings = 6;
+
+RequestKey rankKey(const ValueKey &key)
+{
+    const std::string text = formatKey(key);
+    const std::array<std::string_view, 2> parts{"value reader", text};
+    return hashParts(parts);
+}
+} // namespace
+
+ValueFetcher::ValueFetcher(const DistributionOptions &options, const Membership &membership, RandomEngine random)
+    : m_options(options), m_membership(membership), m_random(random)
+{
+}
+
+void ValueFetcher::setWanted(ValueFamily family, const std::vector<IndexEntry> &missing, TimePoint now)
+{
+    std::erase_if(m_wants, [&](const auto &item) {
+        return item.first.family == family
+            && std::none_of(missing.begin(), missing.end(), [&](const IndexEntry &entry) { return entry.service == item.first.service; });
+    });
+    for (const IndexEntry &entry : missing) {
+        Want &want = m_wants[{.family = family, .service = entry.service}];
+        if (want.entry != entry) {
+            want = {.entry = entry, .due = now, .serviceDue = now, .asked = {}};
+        }
+    }
+}
+
+std::vector<ValueFetcher::Request> ValueFetcher::takeDue(TimePoint now, bool ready)
+{
+    std::vector<Request> requests;
+    for (auto &[key, want] : m_wants) {
+        if (want.due > now) {
+            continue;
+        }
+        if (requests.size() >= m_options.pullsAtOnce) {
+            break;
+        }
+        std::optional<Request> request = choose(key, want, now, ready);
+        want.due = now + m_options.pullTimeout + jittered(m_options.pullTimeout / 4);
+        ++want.attempts;
+        if (request) {
+            want.asked = request->to;
+            requests.push_back(std::move(*request));
+        }
+    }
+    return requests;
+}
+
+std::optional<ValueFetcher::Request> ValueFetcher::choose(const ValueKey &key, Want &want, TimePoint now, bool ready)
+{
+    const Role role = roleFor(key);
+    const unsigned before = attemptsBeforeService(role, ready);
+    const bool serviceTurn = want.attempts >= before && (want.attempts - before) % 2 == 0;
+    std::optional<Request> request = serviceTurn && want.serviceDue <= now ? std::nullopt : choosePeer(key, want, role);
+    if (!request && want.serviceDue <= now) {
+        request = Request{.key = key, .entry = want.entry, .to = {}, .address = {}};
+        want.serviceDue = now + ServiceDelay;
+    }
+    if (request) {
+        request->key = key;
+        request->entry = want.entry;
+    }
+    return request;
+}
+
+ValueFetcher::Role ValueFetcher::roleFor(const ValueKey &key) const
+{
+    const Introduction &self = m_membership.self();
+    const RequestKey rank = rankKey(key);
+    Role role{.member = key.service == self.service, .rank = 0};
+    for (const Candidate &candidate : m_membership.view(self.service).all) {
+        if (candidate.name != self.name && !candidate.suspected && outranks(rank, candidate.name, self.name)) {
+            ++role.rank;
+        }
+    }
+    return role;
+}
+
+unsigned ValueFetcher::attemptsBeforeService(const Role &role, bool ready) const
+{
+    if (role.member && role.rank < Readers) {
+        return ready ? 0 : StartAttempts;
+    }
+    if (role.member) {
+        return MemberAttempts;
+    }
+    return role.rank < Readers ? FirstCallerAttempts : CallerAttempts;
+}
+
+std::optional<ValueFetcher::Request> ValueFetcher::choosePeer(const ValueKey &key, const Want &want, const Role &role)
+{
+    const ServiceId &own = m_membership.self().service;
+    const bool even = want.attempts % 2 == 0;
+    std::optional<Request> request;
+    if (!role.member && (role.rank < Readers ? even : want.attempts % 4 == 3)) {
+        request = anyOf(key.service);
+    } else if (role.rank >= Readers && even) {
+        request = firstRanked(key, own, want.attempts / 2 % Readers);
+    } else {
+        request = anyOf(own);
+    }
+    return request ? request : anyPeer();
+}
+
+std::optional<ValueFetcher::Request> ValueFetcher::firstRanked(const ValueKey &key, const ServiceId &service, unsigned place) const
+{
+    const RequestKey rank = rankKey(key);
+    std::array<const Candidate *, Readers> best{};
+    for (const Candidate &candidate : m_membership.view(service).all) {
+        if (candidate.suspected) {
+            continue;
+        }
+        const Candidate *next = &candidate;
+        for (const Candidate *&held : best) {
+            if (next != nullptr && (held == nullptr || outranks(rank, next->name, held->name))) {
+                std::swap(held, next);
+            }
+        }
+    }
+    const Candidate *chosen = best.at(place);
+    if (chosen == nullptr || chosen->name == m_membership.self().name) {
+        return std::nullopt;
+    }
+    return Request{.key = {}, .entry = {}, .to = chosen->name, .address = chosen->peerAddress};
+}
+
+std::optional<ValueFetcher::Request> ValueFetcher::anyOf(const ServiceId &service)
+{
+    const ServiceView view = m_membership.view(service);
+    if (view.usable == 0) {
+        return std::nullopt;
+    }
+    const Candidate &chosen = view.all[std::uniform_int_distribution<std::size_t>(0, view.usable - 1)(m_random)];
+    if (chosen.name == m_membership.self().name) {
+        return std::nullopt;
+    }
+    return Request{.key = {}, .entry = {}, .to = chosen.name, .address = chosen.peerAddress};
+}
+
+std::optional<ValueFetcher::Request> ValueFetcher::anyPeer()
+{
+    const auto peers = m_membership.peers();
+    if (peers.empty()) {
+        return std::nullopt;
+    }
+    const Introduction &chosen = peers[std::uniform_int_distribution<std::size_t>(0, peers.size() - 1)(m_random)];
+    return Request{.key = {}, .entry = {}, .to = chosen.name, .address = chosen.address};
+}
+
+void ValueFetcher::noteMiss(const ValueKey &key, TimePoint now)
+{
+    const auto found = m_wants.find(key);
+    if (found != m_wants.end()) {
+        const Duration delay = std::min(MissDelay * (1 + found->second.attempts / 2), MaxMissDelay);
+        found->second.due = now + delay / 2 + jittered(delay);
+    }
+}
+
+void ValueFetcher::noteServiceMiss(const ValueKey &key, TimePoint now)
+{
+    const auto found = m_wants.find(key);
+    if (found == m_wants.end()) {
+        return;
+    }
+    Want &want = found->second;
+    const Duration delay = std::min(ServiceDelay * (1U << std::min(want.serviceMisses, MaxBackoffDoublings)), m_options.maxReadDelay);
+    ++want.serviceMisses;
+    want.serviceDue = now + delay / 2 + jittered(delay);
+    want.due = now + jittered(MissDelay);
+}
+
+void ValueFetcher::noteUnreachable(const NodeId &peer, TimePoint now)
+{
+    for (auto &[key, want] : m_wants) {
+        if (want.asked == peer) {
+            want.asked = {};
+            want.due = std::min(want.due, now + jittered(MissDelay));
+        }
+    }
+}
+
+const IndexEntry *ValueFetcher::wanted(const ValueKey &key) const
+{
+    const auto found = m_wants.find(key);
+    return found == m_wants.end() ? nullptr : &found->second.entry;
+}
+
+bool ValueFetcher::isIdle() const
+{
+    return m_wants.empty();
+}
+
+Duration ValueFetcher::jittered(Duration most)
+{
+    return Duration(std::uniform_int_distribution<Duration::rep>(0, std::max<Duration::rep>(most.count(), 1))(m_random));
+}
+
+} // namespace wisteriafork
--- /dev/null
+++ b/src/core/distribution/valuefetcher.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "core/base/clock.h"
+#include "core/base/random.h"
+#include "core/distribution/distributionoptions.h"
+#include "core/distribution/indexentry.h"
+#include "core/distribution/valuekey.h"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace wisteriafork {
+
+class Membership;
+
+// Decides from whom to get each value that is missing. The two members of a service that rank first for its value read it from the
+// configuration service; the others of the service ask these; of the services that call it, the two that rank first ask its members, and
+// the others ask their own service, which needs the same values. So each value is read twice from the configuration service, and no node
+// sends it to more than a few others. Who gets no answer asks others, and in the end the configuration service.
+class ValueFetcher
+{
+public:
+    struct Request
+    {
+        ValueKey key;
+        IndexEntry entry;
+        // The configuration service if `to` and `address` are empty.
+        NodeId to;
+        std::string address;
+    };
+
+    // Options and membership must outlive the fetcher.
+    ValueFetcher(const DistributionOptions &options, const Membership &membership, RandomEngine random);
+
+    // Sets the values of a family that are missing now.
+    void setWanted(ValueFamily family, const std::vector<IndexEntry> &missing, TimePoint now);
+    // Requests to make now. A node that is not ready asks peers before the configuration service.
+    std::vector<Request> takeDue(TimePoint now, bool ready);
+    // The peer that was asked does not have the value.
+    void noteMiss(const ValueKey &key, TimePoint now);
+    // The configuration service does not answer or does not have this content.
+    void noteServiceMiss(const ValueKey &key, TimePoint now);
+    void noteUnreachable(const NodeId &peer, TimePoint now);
+    // Entry that is wanted for the key; null if none is.
+    const IndexEntry *wanted(const ValueKey &key) const;
+    bool isIdle() const;
+
+private:
+    struct Want
+    {
+        IndexEntry entry;
+        unsigned attempts = 0;
+        unsigned serviceMisses = 0;
+        TimePoint due;
+        TimePoint serviceDue;
+        NodeId asked;
+    };
+    // This node's part in getting the value of a service.
+    struct Role
+    {
+        bool member = false;
+        std::size_t rank = 0;
+    };
+
+    Role roleFor(const ValueKey &key) const;
+    unsigned attemptsBeforeService(const Role &role, bool ready) const;
+    std::optional<Request> choose(const ValueKey &key, Want &want, TimePoint now, bool ready);
+    std::optional<Request> choosePeer(const ValueKey &key, const Want &want, const Role &role);
+    std::optional<Request> firstRanked(const ValueKey &key, const ServiceId &service, unsigned place) const;
+    std::optional<Request> anyOf(const ServiceId &service);
+    std::optional<Request> anyPeer();
+    Duration jittered(Duration most);
+
+    const DistributionOptions &m_options;
+    const Membership &m_membership;
+    RandomEngine m_random;
+    std::map<ValueKey, Want> m_wants;
+};
+
+} // namespace wisteriafork
--- a/src/core/distribution/valuepull.h
+++ b/src/core/distribution/valuepull.h
@@ -13,14 +13,16 @@
 {
     ValueFamily family = ValueFamily::Configuration;
     IndexEntry wanted;
+    // Address of the sender's peer listener, for the answer.
+    std::string replyTo;
 
     auto fields()
     {
-        return std::tie(family, wanted);
+        return std::tie(family, wanted, replyTo);
     }
     auto fields() const
     {
-        return std::tie(family, wanted);
+        return std::tie(family, wanted, replyTo);
     }
 };
 
--- a/src/core/distribution/versiondigest.h
+++ b/src/core/distribution/versiondigest.h
@@ -4,6 +4,7 @@
 #include "core/distribution/versionstamp.h"
 #include "core/membership/introduction.h"
 
+#include <cstdint>
 #include <tuple>
 #include <vector>
 
@@ -15,18 +16,20 @@
     Introduction sender;
     VersionStamp configuration;
     VersionStamp hosts;
-    // Asks for the receiver's digest. Without it the receiver answers only if it has something newer.
-    bool wantsReply = false;
+    // Number of a question; the receiver sends its digest with the same number in `answers`. 0 asks nothing: the receiver then answers only
+    // if it has something newer, with `answers` set to 1.
+    std::uint64_t question = 0;
+    std::uint64_t answers = 0;
     // Best readers known for the sender's failure domain.
     std::vector<ReaderBeacon> readers;
 
     auto fields()
     {
-        return std::tie(sender, configuration, hosts, wantsReply, readers);
+        return std::tie(sender, configuration, hosts, question, answers, readers);
     }
     auto fields() const
     {
-        return std::tie(sender, configuration, hosts, wantsReply, readers);
+        return std::tie(sender, configuration, hosts, question, answers, readers);
     }
 };
 
--- a/src/core/membership/membership.cpp
+++ b/src/core/membership/membership.cpp
@@ -168,6 +168,11 @@
     return d->peerSet.peers();
 }
 
+std::span<const std::string> Membership::seeds() const
+{
+    return d->options.seeds;
+}
+
 const Introduction &Membership::self() const
 {
     return d->self;
--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -28,7 +28,8 @@
     Membership(const Membership &) = delete;
     Membership &operator=(const Membership &) = delete;
 
-    // Takes a host list of one service. A list that is not newer than the one held is ignored. Members of a service appear in `view()` once
+    // Takes a host list of one service. A list that is older than the one held is ignored; of two with the same version the
+    // distribution decides. Members of a service appear in `view()` once
     // its first list is here.
     void applyHostList(const HostList &list);
     // Forgets a service that this node does not call any more.
@@ -77,6 +78,8 @@
     bool isDomainSilent(const DomainId &domain) const;
     // Members to gossip with, at most `maxPeers`; those suspected are left out.
     std::span<const Introduction> peers() const;
+    // Addresses to ask while there are no peers.
+    std::span<const std::string> seeds() const;
     // How this node presents itself.
     const Introduction &self() const;
     std::size_t memberCount() const;
--- a/src/core/membership/membertable.cpp
+++ b/src/core/membership/membertable.cpp
@@ -19,7 +19,7 @@
 bool MemberTable::applyList(const HostList &list, TimePoint now)
 {
     ServiceEntry &entry = m_services[list.service];
-    if (m_options.mechanisms.listOrder && list.version <= entry.listVersion) {
+    if (m_options.mechanisms.listOrder && list.version < entry.listVersion) {
         return false;
     }
     entry.listVersion = list.version;
--- a/src/core/membership/membertable.h
+++ b/src/core/membership/membertable.h
@@ -22,7 +22,7 @@
     // Both arguments must outlive the table.
     MemberTable(const MembershipOptions &options, DomainWatch &domains);
 
-    // False if the list is not newer than the one held.
+    // False if the list is older than the one held.
     bool applyList(const HostList &list, TimePoint now);
     void dropService(const ServiceId &service);
 
--- a/src/core/membership/tokenbucket.h
+++ b/src/core/membership/tokenbucket.h
@@ -26,6 +26,17 @@
         return true;
     }
 
+    // Takes tokens if any are left; what is missing is taken from those to come. For uses that may be greater than the burst.
+    bool takeOnCredit(double count, TimePoint now)
+    {
+        refill(now);
+        if (m_tokens <= 0) {
+            return false;
+        }
+        m_tokens -= count;
+        return true;
+    }
+
 private:
     void refill(TimePoint now)
     {
