--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -28,7 +28,8 @@
     Membership(const Membership &) = delete;
     Membership &operator=(const Membership &) = delete;
 
-    // Takes a host list of one service. A list that is not newer than the one held is ignored. Members of a service appear in `view()` once
+    // Takes a host list of one service. A list that is older than the one held is ignored; of two with the same version the
+    // distribution decides. Members of a service appear in `view()` once
     // its first list is here.
     void applyHostList(const HostList &list);
     // Forgets a service that this node does not call any more.
@@ -41,7 +42,8 @@
     void noteContact(const NodeId &name, Incarnation incarnation, bool leaving = false);
     // Same for answers that do not say which incarnation sent them; counts for the known incarnation.
     void noteAnswer(const NodeId &name, bool leaving = false);
-    // A connection to the member was refused or broke, or a call to it timed out.
+    // A connection to the member was refused or broke, or a call to it timed out. Ignored until the tick after a pause of
+    // this process, since the pause may be the cause.
     void noteUnreachable(const NodeId &name);
     // Takes a control message of this component.
     void handle(const NodeId &from, const MembershipMessage &message);
@@ -76,7 +78,9 @@
     bool isDomainSilent(const DomainId &domain) const;
     // Members to gossip with, at most `maxPeers`; those suspected are left out.
     std::span<const Introduction> peers() const;
-    // Members of this node's own service that can be asked for the same slices, with itself left out and suspected ones too.
+    // Addresses to ask while there are no peers.
+    std::span<const std::string> seeds() const;
+    // How this node presents itself.
     const Introduction &self() const;
     std::size_t memberCount() const;
 
