Add the headers of observability and administration

The daemon is built against the event catalogue, the event log, the metrics, the outcomes, the recent load and the abstract source of the administration API, so these come first.

--- /dev/null
+++ b/src/admin/accesstoken.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "core/base/ids.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace wisteriafork {
+
+enum class AccessRight : std::uint8_t {
+    // May look at everything in its scope.
+    Reader,
+    // May also drain and undrain.
+    Operator,
+};
+
+// One bearer token from the settings.
+struct AccessToken
+{
+    // Shown in the log instead of the secret.
+    std::string name;
+    // The token itself, at least 16 characters.
+    std::string secret;
+    AccessRight right = AccessRight::Reader;
+    // Tenants whose outcomes the token may see. Empty means all tenants and everything that is not tied to a tenant.
+    std::vector<TenantId> tenants;
+};
+
+} // namespace wisteriafork
--- a/src/core/config/objectreader.cpp
+++ b/src/core/config/objectreader.cpp
@@ -88,7 +88,7 @@
 
 std::string ObjectReader::choice(std::string_view name, const std::vector<std::string_view> &allowed)
 {
-    const std::string value = text(name);
+    std::string value = text(name);
     if (value.empty()) {
         return {};
     }
--- a/src/core/config/slices.cpp
+++ b/src/core/config/slices.cpp
@@ -164,14 +164,14 @@
 
 std::string sliceHash(std::string_view text)
 {
-    constexpr std::string_view Digits = "0123456789abcdef";
+    constexpr std::string_view digits = "0123456789abcdef";
     std::uint64_t hash = hash64(text);
-    std::string digits(16, '0');
-    for (auto digit = digits.rbegin(); digit != digits.rend(); ++digit) {
-        *digit = Digits[hash & 0xfU];
+    std::string result(16, '0');
+    for (auto digit = result.rbegin(); digit != result.rend(); ++digit) {
+        *digit = digits[hash & 0xfU];
         hash >>= 4U;
     }
-    return digits;
+    return result;
 }
 
 std::string printIndex(const ConfigurationIndex &index)
--- /dev/null
+++ b/src/observability/eventlog.cpp
@@ -0,0 +1,162 @@
+#include "observability/eventlog.h"
+
+#include <atomic>
+#include <ctime>
+#include <ostream>
+#include <utility>
+
+#include <boost/core/null_deleter.hpp>
+#include <boost/log/attributes/constant.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/logger.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/make_shared.hpp>
+#include <boost/smart_ptr/shared_ptr.hpp>
+#include <nlohmann/json.hpp>
+
+namespace wisteriafork {
+
+namespace {
+
+namespace logging = boost::log;
+using Sink = logging::sinks::synchronous_sink<logging::sinks::text_ostream_backend>;
+
+// Attribute that ties a record to the log that wrote it, because the core of Boost.Log passes each record to all sinks of the process.
+constexpr const char *OwnerAttribute = "WisteriaforkLog";
+
+std::uint64_t nextLogId()
+{
+    static std::atomic<std::uint64_t> last{0};
+    return ++last;
+}
+
+// UTC with milliseconds, "2026-12-04T09:30:00.125Z".
+std::string formatTime(std::chrono::system_clock::time_point time)
+{
+    const auto milliseconds = std::chrono::floor<std::chrono::milliseconds>(time.time_since_epoch()).count();
+    const std::time_t seconds = static_cast<std::time_t>(milliseconds / 1000);
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    std::string text(32, '\0');
+    text.resize(std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts));
+    const std::string fraction = std::to_string(milliseconds % 1000);
+    return text + "." + std::string(3 - fraction.size(), '0') + fraction + "Z";
+}
+
+std::string quoted(const std::string &text)
+{
+    return nlohmann::json(text).dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
+}
+
+std::string keyValueText(const std::string &text)
+{
+    constexpr std::string_view plain = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/+";
+    return !text.empty() && text.find_first_not_of(plain) == std::string::npos ? text : quoted(text);
+}
+
+} // namespace
+
+class EventLog::Private
+{
+public:
+    Private(LogOptions chosen, std::ostream &stream) : options(chosen)
+    {
+        const std::uint64_t id = nextLogId();
+        logger.add_attribute(OwnerAttribute, logging::attributes::constant<std::uint64_t>(id));
+        auto backend = boost::make_shared<logging::sinks::text_ostream_backend>();
+        backend->add_stream(boost::shared_ptr<std::ostream>(&stream, boost::null_deleter()));
+        backend->auto_flush(true);
+        sink = boost::make_shared<Sink>(backend);
+        sink->set_filter(logging::expressions::attr<std::uint64_t>(OwnerAttribute) == id);
+        logging::core::get()->add_sink(sink);
+    }
+
+    ~Private()
+    {
+        logging::core::get()->remove_sink(sink);
+        sink->flush();
+    }
+
+    LogOptions options;
+    logging::sources::logger_mt logger;
+    boost::shared_ptr<Sink> sink;
+};
+
+EventLog::EventLog(LogOptions options, std::ostream &stream) : d(std::make_unique<Private>(options, stream))
+{
+}
+
+EventLog::~EventLog() = default;
+
+void EventLog::write(EventNumber number, const std::vector<std::string> &values)
+{
+    const EventDescription &event = describeEvent(number);
+    if (event.severity < d->options.least) {
+        return;
+    }
+    const std::string line = formatEvent(event, values, d->options.format, std::chrono::system_clock::now());
+    BOOST_LOG(d->logger) << line;
+}
+
+void EventLog::write(const Decision &decision)
+{
+    if (d->options.decisions) {
+        write(decisionEvent(decision.kind), {decision.requestId, decision.service.value(), decision.node.value(), decision.reason});
+    }
+}
+
+EventNumber decisionEvent(DecisionKind kind)
+{
+    switch (kind) {
+    case DecisionKind::Admitted:
+        return EventNumber::CallAdmitted;
+    case DecisionKind::Queued:
+        return EventNumber::CallQueued;
+    case DecisionKind::Refused:
+        return EventNumber::CallRefused;
+    case DecisionKind::RunLocally:
+        return EventNumber::CallRunLocally;
+    case DecisionKind::Forwarded:
+        return EventNumber::CallForwarded;
+    case DecisionKind::Retried:
+        return EventNumber::CallRetried;
+    case DecisionKind::ReplayedStoredAnswer:
+        return EventNumber::StoredAnswerReplayed;
+    case DecisionKind::JoinedRunningAttempt:
+        return EventNumber::RunningAttemptJoined;
+    case DecisionKind::Cancelled:
+        return EventNumber::CallCancelled;
+    }
+    return EventNumber::CallRefused;
+}
+
+std::string formatEvent(const EventDescription &event, std::span<const std::string> values, LogFormat format,
+                        std::chrono::system_clock::time_point time)
+{
+    std::vector<std::pair<std::string, std::string>> members{{"time", quoted(formatTime(time))},
+                                                             {"event", std::to_string(static_cast<unsigned>(event.number))},
+                                                             {"name", quoted(std::string(event.name))},
+                                                             {"severity", quoted(std::string(logSeverityName(event.severity)))}};
+    if (format == LogFormat::KeyValue) {
+        members[0].second = formatTime(time);
+        members[2].second = std::string(event.name);
+        members[3].second = std::string(logSeverityName(event.severity));
+    }
+    for (std::size_t index = 0; index < event.fields.size() && index < values.size(); ++index) {
+        members.emplace_back(event.fields[index], format == LogFormat::Json ? quoted(values[index]) : keyValueText(values[index]));
+    }
+    if (values.size() != event.fields.size()) {
+        members.emplace_back("fieldCountMismatch", std::to_string(values.size()));
+    }
+    std::string line;
+    for (const auto &[name, value] : members) {
+        line += format == LogFormat::Json ? (line.empty() ? "{\"" : ",\"") + name + "\":" + value
+                                          : (line.empty() ? "" : " ") + name + "=" + value;
+    }
+    return format == LogFormat::Json ? line + "}" : line;
+}
+
+} // namespace wisteriafork
--- /dev/null
+++ b/src/observability/eventlog.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "core/node/decision.h"
+#include "observability/eventcatalogue.h"
+
+#include <chrono>
+#include <cstdint>
+#include <iosfwd>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace wisteriafork {
+
+enum class LogFormat : std::uint8_t {
+    Json,
+    KeyValue,
+};
+
+struct LogOptions
+{
+    LogFormat format = LogFormat::Json;
+    // Events below this severity are dropped before they are formatted.
+    LogSeverity least = LogSeverity::Info;
+    // False leaves out the line for each decision on a call.
+    bool decisions = true;
+};
+
+// Writes numbered events as lines to a stream through Boost.Log. Values are passed in the order of the fields in the catalogue, so that
+// names exist in one place only. Thread safe; callers hold no lock of the lock order while they write.
+class EventLog
+{
+public:
+    // The stream must outlive the log.
+    EventLog(LogOptions options, std::ostream &stream);
+    ~EventLog();
+    EventLog(const EventLog &) = delete;
+    EventLog &operator=(const EventLog &) = delete;
+
+    void write(EventNumber number, const std::vector<std::string> &values);
+
+    // One line for a decision on a call.
+    void write(const Decision &decision);
+
+private:
+    class Private;
+    std::unique_ptr<Private> d;
+};
+
+// Event of a kind of decision.
+EventNumber decisionEvent(DecisionKind kind);
+
+// The line of an event without line break. A number of values that differs from the number of fields is marked by the field
+// "fieldCountMismatch" instead of losing the line.
+std::string formatEvent(const EventDescription &event, std::span<const std::string> values, LogFormat format,
+                        std::chrono::system_clock::time_point time);
+
+} // namespace wisteriafork
--- /dev/null
+++ b/src/observability/outcomes.cpp
@@ -0,0 +1,143 @@
+#include "observability/outcomes.h"
+
+#include "observability/overloadtracker.h"
+#include "observability/secondscounter.h"
+
+#include <map>
+#include <mutex>
+
+namespace wisteriafork {
+
+namespace {
+
+constexpr std::size_t MaximumKeys = 4096;
+
+bool isForLoad(const Refusal &refusal)
+{
+    return refusal.reason == RefusalReason::Overloaded || refusal.reason == RefusalReason::DeadlineTooShort
+        || refusal.reason == RefusalReason::ShareUsedUp;
+}
+
+struct Counters
+{
+    std::uint64_t completed = 0;
+    std::uint64_t replayed = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t duplicatesSuppressed = 0;
+    std::map<std::pair<RefusalKind, RefusalReason>, std::uint64_t> refusals;
+    Duration totalTime{0};
+    SecondsCounter goodput;
+    SecondsCounter offered;
+};
+
+} // namespace
+
+class Outcomes::Private
+{
+public:
+    explicit Private(const Clock &source) : clock(source), begin(source.now())
+    {
+    }
+
+    std::int64_t second() const
+    {
+        return std::chrono::duration_cast<std::chrono::seconds>(clock.now() - begin).count();
+    }
+
+    // The lock must be held.
+    Counters &counters(const OutcomeKey &key)
+    {
+        const auto found = rows.find(key);
+        if (found != rows.end()) {
+            return found->second;
+        }
+        if (rows.size() >= MaximumKeys) {
+            return rows[{.service = key.service, .callClass = key.callClass, .tenant = TenantId("_other")}];
+        }
+        return rows[key];
+    }
+
+    const Clock &clock;
+    const TimePoint begin;
+    mutable std::mutex mutex;
+    std::map<OutcomeKey, Counters> rows;
+    std::map<ServiceId, OverloadTracker> overloads;
+};
+
+Outcomes::Outcomes(const Clock &clock) : d(std::make_unique<Private>(clock))
+{
+}
+
+Outcomes::~Outcomes() = default;
+
+void Outcomes::completed(const OutcomeKey &key, Duration time, bool replayed)
+{
+    const std::lock_guard lock(d->mutex);
+    const std::int64_t second = d->second();
+    Counters &counters = d->counters(key);
+    ++counters.completed;
+    counters.replayed += replayed ? 1 : 0;
+    counters.totalTime += time;
+    counters.goodput.add(second);
+    counters.offered.add(second);
+    d->overloads[key.service].completed(second, time);
+}
+
+void Outcomes::refused(const OutcomeKey &key, const Refusal &refusal)
+{
+    const std::lock_guard lock(d->mutex);
+    const std::int64_t second = d->second();
+    Counters &counters = d->counters(key);
+    ++counters.refusals[{refusal.kind, refusal.reason}];
+    counters.offered.add(second);
+    if (isForLoad(refusal)) {
+        d->overloads[key.service].refusedForLoad(second);
+    } else {
+        d->overloads[key.service].endedOtherwise(second);
+    }
+}
+
+void Outcomes::failed(const OutcomeKey &key)
+{
+    const std::lock_guard lock(d->mutex);
+    const std::int64_t second = d->second();
+    Counters &counters = d->counters(key);
+    ++counters.failed;
+    counters.offered.add(second);
+    d->overloads[key.service].endedOtherwise(second);
+}
+
+void Outcomes::duplicateSuppressed(const OutcomeKey &key)
+{
+    const std::lock_guard lock(d->mutex);
+    ++d->counters(key).duplicatesSuppressed;
+}
+
+OutcomesReport Outcomes::report() const
+{
+    const std::lock_guard lock(d->mutex);
+    const std::int64_t second = d->second();
+    OutcomesReport report;
+    report.covered = d->clock.now() - d->begin;
+    for (const auto &[key, counters] : d->rows) {
+        report.rows.push_back({.key = key,
+                               .completed = counters.completed,
+                               .replayed = counters.replayed,
+                               .failed = counters.failed,
+                               .duplicatesSuppressed = counters.duplicatesSuppressed,
+                               .refusals = counters.refusals,
+                               .goodputPerSecond = counters.goodput.perSecond(second, 0),
+                               .offeredPerSecond = counters.offered.perSecond(second, 0),
+                               .meanTime = counters.completed == 0
+                                   ? Duration(0)
+                                   : Duration(counters.totalTime.count() / static_cast<std::int64_t>(counters.completed))});
+    }
+    for (const auto &[service, tracker] : d->overloads) {
+        if (const auto record = tracker.record(second)) {
+            report.lastOverloads.emplace(service, *record);
+        }
+    }
+    return report;
+}
+
+} // namespace wisteriafork
--- /dev/null
+++ b/src/observability/recentload.cpp
@@ -0,0 +1,90 @@
+#include "observability/recentload.h"
+
+#include "observability/secondscounter.h"
+
+#include <map>
+#include <mutex>
+#include <utility>
+
+namespace wisteriafork {
+
+namespace {
+
+constexpr std::size_t MaximumOperations = 4096;
+// Weight of a new call in the mean service time.
+constexpr double TimeWeight = 0.05;
+
+struct Entry
+{
+    SecondsCounter arrivals;
+    // In nanoseconds; zero if unknown.
+    double serviceTime = 0;
+};
+
+} // namespace
+
+class RecentLoad::Private
+{
+public:
+    explicit Private(const Clock &source) : clock(source), begin(source.now())
+    {
+    }
+
+    std::int64_t second() const
+    {
+        return std::chrono::duration_cast<std::chrono::seconds>(clock.now() - begin).count();
+    }
+
+    // Null if the bound on operations is reached. The lock must be held.
+    Entry *find(const ServiceId &service, const OperationId &operation)
+    {
+        const auto key = std::make_pair(service, operation);
+        if (!entries.contains(key) && entries.size() >= MaximumOperations) {
+            return nullptr;
+        }
+        return &entries[key];
+    }
+
+    const Clock &clock;
+    const TimePoint begin;
+    mutable std::mutex mutex;
+    std::map<std::pair<ServiceId, OperationId>, Entry> entries;
+};
+
+RecentLoad::RecentLoad(const Clock &clock) : d(std::make_unique<Private>(clock))
+{
+}
+
+RecentLoad::~RecentLoad() = default;
+
+void RecentLoad::arrived(const ServiceId &service, const OperationId &operation)
+{
+    const std::lock_guard lock(d->mutex);
+    if (Entry *entry = d->find(service, operation)) {
+        entry->arrivals.add(d->second());
+    }
+}
+
+void RecentLoad::served(const ServiceId &service, const OperationId &operation, Duration serviceTime)
+{
+    const std::lock_guard lock(d->mutex);
+    if (Entry *entry = d->find(service, operation)) {
+        const auto time = static_cast<double>(serviceTime.count());
+        entry->serviceTime = entry->serviceTime == 0 ? time : entry->serviceTime + TimeWeight * (time - entry->serviceTime);
+    }
+}
+
+std::vector<OperationLoad> RecentLoad::load() const
+{
+    const std::lock_guard lock(d->mutex);
+    std::vector<OperationLoad> loads;
+    for (const auto &[key, entry] : d->entries) {
+        loads.push_back({.service = key.first,
+                         .operation = key.second,
+                         .callsPerSecond = entry.arrivals.perSecond(d->second(), 0),
+                         .meanServiceTime = Duration(static_cast<Duration::rep>(entry.serviceTime))});
+    }
+    return loads;
+}
+
+} // namespace wisteriafork
