Test the event catalogue, the log, the metrics and the outcomes

docs/events.md is compared with the catalogue in code in both directions. The recovery time is checked in virtual time: it ends when latency is back, not with the last refusal.

--- /dev/null
+++ b/tests/observability/eventlog_test.cpp
@@ -0,0 +1,166 @@
+#include "observability/eventlog.h"
+
+#include <array>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <sstream>
+#include <thread>
+
+#include <nlohmann/json.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace wisteriafork;
+
+namespace {
+
+std::vector<std::string> splitCells(const std::string &line)
+{
+    std::vector<std::string> cells;
+    std::istringstream input(line.substr(1));
+    std::string cell;
+    while (std::getline(input, cell, '|')) {
+        const std::size_t first = cell.find_first_not_of(' ');
+        cells.push_back(first == std::string::npos ? "" : cell.substr(first, cell.find_last_not_of(' ') - first + 1));
+    }
+    return cells;
+}
+
+// Rows of the table in docs/events.md by number: name, severity, fields.
+std::map<std::string, std::string> documentedEvents()
+{
+    const auto path = std::filesystem::path(__FILE__).parent_path() / "../../docs/events.md";
+    std::ifstream file(path);
+    std::map<std::string, std::string> events;
+    std::string line;
+    while (std::getline(file, line)) {
+        if (line.starts_with("| ") && std::isdigit(static_cast<unsigned char>(line[2])) != 0) {
+            const auto cells = splitCells(line);
+            CHECK_TEXT(cells.size() >= 5 && !cells[4].empty(), line.c_str());
+            CHECK_TEXT(events.emplace(cells[0], cells[1] + " / " + cells[2] + " / " + cells[3]).second, line.c_str());
+        }
+    }
+    return events;
+}
+
+std::string joined(std::span<const std::string_view> names)
+{
+    std::string text;
+    for (const std::string_view name : names) {
+        text += (text.empty() ? "" : ", ") + std::string(name);
+    }
+    return text;
+}
+
+} // namespace
+
+TEST_GROUP(EventLog)
+{
+    std::ostringstream m_output;
+
+    std::vector<std::string> lines() const
+    {
+        std::vector<std::string> result;
+        std::istringstream input(m_output.str());
+        for (std::string line; std::getline(input, line);) {
+            result.push_back(line);
+        }
+        return result;
+    }
+};
+
+// Guards against an event that is documented otherwise than it is written, in both directions.
+TEST(EventLog, matchesTheDocumentedCatalogue)
+{
+    const auto documented = documentedEvents();
+    std::map<std::string, std::string> inCode;
+    for (const EventDescription &event : eventCatalogue()) {
+        inCode.emplace(std::to_string(static_cast<unsigned>(event.number)),
+                       std::string(event.name) + " / " + std::string(logSeverityName(event.severity)) + " / " + joined(event.fields));
+        CHECK(&describeEvent(event.number) == &event);
+    }
+
+    LONGS_EQUAL(eventCatalogue().size(), inCode.size());
+    for (const auto &[number, row] : inCode) {
+        CHECK_TEXT(documented.contains(number), ("not in docs/events.md: " + number).c_str());
+        STRCMP_EQUAL(row.c_str(), documented.at(number).c_str());
+    }
+    for (const auto &[number, row] : documented) {
+        CHECK_TEXT(inCode.contains(number), ("not in the code: " + number).c_str());
+    }
+}
+
+// Guards against a decision that cannot be found in the log, and against text of a caller breaking the line.
+TEST(EventLog, writesOneJsonLinePerDecision)
+{
+    EventLog log({}, m_output);
+
+    log.write(Decision{.kind = DecisionKind::Forwarded,
+                       .requestId = "r-1\"\n\xff",
+                       .service = ServiceId("registar"),
+                       .node = NodeId("registar-osijek-1"),
+                       .reason = "same failure domain, lowest load"});
+
+    LONGS_EQUAL(1, lines().size());
+    const auto line = nlohmann::json::parse(lines()[0]);
+    LONGS_EQUAL(204, line["event"].get<int>());
+    STRCMP_EQUAL("call-forwarded", line["name"].get<std::string>().c_str());
+    STRCMP_EQUAL("registar-osijek-1", line["node"].get<std::string>().c_str());
+    LONGS_EQUAL(24, line["time"].get<std::string>().size());
+}
+
+// Guards against a kind of decision without an event of its own.
+TEST(EventLog, givesEachKindOfDecisionItsOwnNumber)
+{
+    for (int kind = 0; kind <= static_cast<int>(DecisionKind::Cancelled); ++kind) {
+        LONGS_EQUAL(200 + kind, static_cast<int>(decisionEvent(static_cast<DecisionKind>(kind))));
+    }
+}
+
+// Guards against two logs of one process that write to each other's stream, and against lines below the chosen severity.
+TEST(EventLog, keepsLogsApartAndDropsLowSeverities)
+{
+    std::ostringstream otherOutput;
+    EventLog log({.format = LogFormat::KeyValue, .least = LogSeverity::Warning}, m_output);
+    {
+        EventLog other({.decisions = false}, otherOutput);
+        other.write(Decision{});
+        other.write(EventNumber::OwnerFenced, {"other-1", "2"});
+    }
+    log.write(EventNumber::DrainStarted, {"planned"});
+    log.write(EventNumber::PauseNoticed, {"1500"});
+    log.write(EventNumber::OwnerFenced, {"has space"});
+
+    LONGS_EQUAL(2, lines().size());
+    STRCMP_CONTAINS("event=107 name=pause-noticed severity=warning milliseconds=1500", lines()[0].c_str());
+    STRCMP_CONTAINS("node=\"has space\" fieldCountMismatch=1", lines()[1].c_str());
+    const std::string other = otherOutput.str();
+    STRCMP_CONTAINS("\"event\":601,", other.c_str());
+    STRCMP_CONTAINS("\"node\":\"other-1\"", other.c_str());
+    LONGS_EQUAL(other.size() - 1, other.find('\n'));
+}
+
+// Guards against lines of several workers that run into each other.
+TEST(EventLog, keepsLinesOfSeveralThreadsWhole)
+{
+    constexpr int Lines = 200;
+    {
+        EventLog log({}, m_output);
+        std::array<std::thread, 4> workers;
+        for (std::thread &worker : workers) {
+            worker = std::thread([&log] {
+                for (int count = 0; count < Lines; ++count) {
+                    log.write(EventNumber::PauseNoticed, {"1"});
+                }
+            });
+        }
+        for (std::thread &worker : workers) {
+            worker.join();
+        }
+    }
+    LONGS_EQUAL(4 * Lines, lines().size());
+    for (const std::string &line : lines()) {
+        CHECK(nlohmann::json::accept(line));
+    }
+}
--- /dev/null
+++ b/tests/observability/outcomes_test.cpp
@@ -0,0 +1,188 @@
+#include "core/base/manualclock.h"
+#include "observability/metrics.h"
+#include "observability/outcomes.h"
+#include "observability/recentload.h"
+#include "observability/refusalname.h"
+
+#include <set>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace wisteriafork;
+using namespace std::chrono_literals;
+
+TEST_GROUP(Outcomes)
+{
+    ManualClock m_clock;
+    Outcomes m_outcomes{m_clock};
+    OutcomeKey m_key{.service = ServiceId("registar"), .callClass = CallClass::Read, .tenant = TenantId("growers")};
+    Refusal m_overloaded{.kind = RefusalKind::NotRun, .reason = RefusalReason::Overloaded, .retryAfter = 1s};
+
+    // Seconds with the given number of completed and refused calls each.
+    void run(int seconds, int completed, int refused, Duration time)
+    {
+        for (int second = 0; second < seconds; ++second) {
+            for (int call = 0; call < completed; ++call) {
+                m_outcomes.completed(m_key, time);
+            }
+            for (int call = 0; call < refused; ++call) {
+                m_outcomes.refused(m_key, m_overloaded);
+            }
+            m_clock.advance(1s);
+        }
+    }
+
+    OverloadRecord lastOverload() const
+    {
+        const OutcomesReport report = m_outcomes.report();
+        CHECK(report.lastOverloads.contains(m_key.service));
+        return report.lastOverloads.at(m_key.service);
+    }
+};
+
+// Guards against outcomes that are counted twice, lost or given to another tenant.
+TEST(Outcomes, countEachOutcomeOncePerKey)
+{
+    const OutcomeKey other{.service = m_key.service, .callClass = CallClass::Critical, .tenant = TenantId("inspectors")};
+    m_outcomes.completed(m_key, 10ms);
+    m_outcomes.completed(m_key, 30ms, true);
+    m_outcomes.duplicateSuppressed(m_key);
+    m_outcomes.refused(m_key, m_overloaded);
+    m_outcomes.failed(other);
+
+    const OutcomesReport report = m_outcomes.report();
+
+    LONGS_EQUAL(2, report.rows.size());
+    const OutcomeRow &row = report.rows[0];
+    CHECK(row.key == m_key);
+    LONGS_EQUAL(2, row.completed);
+    LONGS_EQUAL(1, row.replayed);
+    LONGS_EQUAL(1, row.duplicatesSuppressed);
+    LONGS_EQUAL(1, row.refusals.at({RefusalKind::NotRun, RefusalReason::Overloaded}));
+    CHECK(row.meanTime == 20ms);
+    LONGS_EQUAL(1, report.rows[1].failed);
+}
+
+// Guards against a rate that still counts old seconds, and against one that is diluted by time before the start.
+TEST(Outcomes, giveRatesOfTheLastMinute)
+{
+    run(5, 10, 0, 10ms);
+    DOUBLES_EQUAL(50.0 / 6, m_outcomes.report().rows[0].goodputPerSecond, 0.01);
+
+    m_clock.advance(57s);
+    DOUBLES_EQUAL(20.0 / 60, m_outcomes.report().rows[0].goodputPerSecond, 0.01);
+    m_clock.advance(600s);
+    DOUBLES_EQUAL(0, m_outcomes.report().rows[0].goodputPerSecond, 0.01);
+}
+
+// Guards against a recovery time that ends with the last refusal although latency is still high.
+TEST(Outcomes, measureRecoveryUntilLatencyIsBack)
+{
+    run(20, 100, 0, 20ms);
+    run(10, 100, 200, 80ms);
+    CHECK(lastOverload().ongoing);
+    run(4, 100, 0, 60ms);
+    CHECK(lastOverload().ongoing);
+    run(3, 100, 0, 20ms);
+
+    const OverloadRecord record = lastOverload();
+
+    CHECK_FALSE(record.ongoing);
+    CHECK(record.latencyRecovered);
+    LONGS_EQUAL(14, std::chrono::duration_cast<std::chrono::seconds>(record.duration).count());
+    LONGS_EQUAL(4, std::chrono::duration_cast<std::chrono::seconds>(record.recovery).count());
+}
+
+// Guards against an overload that never ends because the service became slower for good.
+TEST(Outcomes, endAnOverloadAtANewLatency)
+{
+    run(20, 100, 0, 20ms);
+    run(5, 100, 200, 80ms);
+    run(70, 100, 0, 40ms);
+
+    CHECK_FALSE(lastOverload().ongoing);
+    CHECK_FALSE(lastOverload().latencyRecovered);
+}
+
+// Guards against a caller who fills the memory with invented tenants.
+TEST(Outcomes, boundTheNumberOfKeys)
+{
+    for (int tenant = 0; tenant < 6000; ++tenant) {
+        m_key.tenant = TenantId(std::to_string(tenant));
+        m_outcomes.failed(m_key);
+    }
+    LONGS_EQUAL(4097, m_outcomes.report().rows.size());
+}
+
+// Guards against reasons that cannot be told apart in headers and logs.
+TEST(Outcomes, nameEachReason)
+{
+    std::set<std::string_view> names;
+    for (int reason = 0; reason <= static_cast<int>(RefusalReason::NotConfigured); ++reason) {
+        names.insert(refusalReasonName(static_cast<RefusalReason>(reason)));
+    }
+    LONGS_EQUAL(static_cast<int>(RefusalReason::NotConfigured) + 1, names.size());
+    CHECK_FALSE(names.contains("other"));
+}
+
+// Guards against a dry run with loads of another operation or without service times.
+TEST(Outcomes, keepTheRecentLoadByOperation)
+{
+    RecentLoad load(m_clock);
+    const OperationId read("read-shelf");
+    for (int call = 0; call < 30; ++call) {
+        load.arrived(m_key.service, read);
+    }
+    load.served(m_key.service, read, 20ms);
+    m_clock.advance(9s);
+
+    LONGS_EQUAL(1, load.load().size());
+    DOUBLES_EQUAL(3.0, load.load()[0].callsPerSecond, 0.01);
+    CHECK(load.load()[0].meanServiceTime == 20ms);
+}
+
+TEST_GROUP(Metrics)
+{
+    Metrics m_metrics;
+};
+
+// Guards against text that a scraper cannot read: missing types, buckets that are not cumulative, unescaped labels.
+TEST(Metrics, areExposedAsText)
+{
+    m_metrics.add(Metric::Refusals, {"a\"b\\c\n", "read", "not-run", "overloaded"}, 2);
+    m_metrics.set(Metric::ConcurrencyLimit, 12.5);
+    m_metrics.observe(Metric::CallSeconds, 3ms, {"registar", "read"});
+    m_metrics.observe(Metric::CallSeconds, 50us, {"registar", "read"});
+    m_metrics.observe(Metric::CallSeconds, 99s, {"registar", "read"});
+
+    const std::string text = m_metrics.expose();
+
+    STRCMP_CONTAINS("# TYPE wisteriafork_refusals_total counter\n", text.c_str());
+    STRCMP_CONTAINS("wisteriafork_refusals_total{service=\"a\\\"b\\\\c\\n\",class=\"read\",kind=\"not-run\",reason=\"overloaded\"} 2\n",
+                    text.c_str());
+    STRCMP_CONTAINS("wisteriafork_concurrency_limit 12.5\n", text.c_str());
+    STRCMP_CONTAINS("_bucket{service=\"registar\",class=\"read\",le=\"0.0001\"} 1\n", text.c_str());
+    STRCMP_CONTAINS("_bucket{service=\"registar\",class=\"read\",le=\"0.005\"} 2\n", text.c_str());
+    STRCMP_CONTAINS("_bucket{service=\"registar\",class=\"read\",le=\"+Inf\"} 3\n", text.c_str());
+    STRCMP_CONTAINS("wisteriafork_call_seconds_count{service=\"registar\",class=\"read\"} 3\n", text.c_str());
+}
+
+// Guards against unbounded memory for label values that come from callers.
+TEST(Metrics, boundTheNumberOfSeries)
+{
+    for (int service = 0; service < 1010; ++service) {
+        m_metrics.add(Metric::Retries, {std::to_string(service)});
+    }
+    STRCMP_CONTAINS("wisteriafork_dropped_samples_total{metric=\"wisteriafork_retries_total\"} 10\n", m_metrics.expose().c_str());
+}
+
+// Guards against a catalogue that is not in the order of the enumeration, which would mix up metrics.
+TEST(Metrics, areCataloguedInOrder)
+{
+    LONGS_EQUAL(static_cast<int>(Metric::DroppedSeries) + 1, metricCatalogue().size());
+    int position = 0;
+    for (const MetricDescription &description : metricCatalogue()) {
+        LONGS_EQUAL(position++, static_cast<int>(description.metric));
+    }
+}
