--- a/src/net/asio.h
+++ b/src/net/asio.h
@@ -2,6 +2,7 @@
 
 // Asio of Boost 1.74 uses std::exchange without including its header, which g++ 12 rejects in C++20 mode. All files of the project include
 // Asio through this header.
+#include <chrono>
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
@@ -18,6 +19,10 @@
 namespace asio = boost::asio;
 using Tcp = asio::ip::tcp;
 using Strand = asio::strand<asio::io_context::executor_type>;
+// Sockets and timers with a strand as their executor type, which avoids the type-erased executor on each operation.
+using Socket = asio::basic_stream_socket<Tcp, Strand>;
+using Acceptor = asio::basic_socket_acceptor<Tcp, Strand>;
+using Timer = asio::basic_waitable_timer<std::chrono::steady_clock, asio::wait_traits<std::chrono::steady_clock>, Strand>;
 using ErrorCode = boost::system::error_code;
 
 } // namespace wisteriafork
--- /dev/null
+++ b/src/net/endpoint.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "net/asio.h"
+
+#include <optional>
+#include <string_view>
+
+namespace wisteriafork {
+
+// Parses "127.0.0.1:7101" or "[::1]:7101". Names are not resolved; empty if the text is no IP address with a port.
+std::optional<Tcp::endpoint> parseEndpoint(std::string_view text);
+
+} // namespace wisteriafork
--- /dev/null
+++ b/src/net/peerserversession.cpp
@@ -0,0 +1,95 @@
+#include "net/peerserversession.h"
+
+namespace wisteriafork {
+
+class PeerServerSession::Exchange : public ServerExchange
+{
+public:
+    Exchange(std::shared_ptr<PeerServerSession> session, StreamId stream) : m_session(std::move(session)), m_stream(stream)
+    {
+    }
+
+    void respond(HttpResponse response) override
+    {
+        if (m_answered.exchange(true)) {
+            return;
+        }
+        asio::dispatch(m_session->transport().strand(), [session = m_session, stream = m_stream, answer = std::move(response)]() mutable {
+            session->answer(stream, std::move(answer));
+        });
+    }
+
+private:
+    std::shared_ptr<PeerServerSession> m_session;
+    const StreamId m_stream;
+    std::atomic<bool> m_answered = false;
+};
+
+PeerServerSession::PeerServerSession(std::unique_ptr<PeerTransport> transport, const PeerOptions &options, ServerHandler &handler,
+                                     std::shared_ptr<std::atomic<std::size_t>> sessions)
+    : Http2Session(std::move(transport), options, true), m_handler(handler), m_sessions(std::move(sessions))
+{
+    ++*m_sessions;
+}
+
+PeerServerSession::~PeerServerSession()
+{
+    --*m_sessions;
+}
+
+void PeerServerSession::start()
+{
+    asio::dispatch(transport().strand(), [self = std::static_pointer_cast<PeerServerSession>(shared_from_this())] {
+        self->m_remoteAddress = self->transport().remoteAddress();
+        self->transport().accept([self](const ErrorCode &error) {
+            if (error) {
+                self->close();
+                return;
+            }
+            self->startIo();
+        });
+    });
+}
+
+void PeerServerSession::requestReceived(StreamId stream, HttpRequest request)
+{
+    auto exchange = std::make_shared<Exchange>(std::static_pointer_cast<PeerServerSession>(shared_from_this()), stream);
+    exchange->request = std::make_shared<HttpRequest>(std::move(request));
+    exchange->remoteAddress = m_remoteAddress;
+    m_exchanges.emplace(stream, exchange);
+    m_handler.handleRequest(std::move(exchange));
+}
+
+void PeerServerSession::responseReceived(StreamId, HttpResponse)
+{
+}
+
+void PeerServerSession::streamFailed(StreamId stream, ExchangeError)
+{
+    const auto found = m_exchanges.find(stream);
+    if (found == m_exchanges.end()) {
+        return;
+    }
+    const std::shared_ptr<Exchange> exchange = found->second;
+    m_exchanges.erase(found);
+    m_handler.handleGone(*exchange);
+}
+
+void PeerServerSession::answer(StreamId stream, HttpResponse response)
+{
+    if (isClosed() || m_exchanges.erase(stream) == 0) {
+        return;
+    }
+    engine().submitResponse(stream, std::move(response));
+    flush();
+}
+
+void PeerServerSession::connectionClosed()
+{
+    const std::unordered_map<StreamId, std::shared_ptr<Exchange>> exchanges = std::exchange(m_exchanges, {});
+    for (const auto &[stream, exchange] : exchanges) {
+        m_handler.handleGone(*exchange);
+    }
+}
+
+} // namespace wisteriafork
