--- a/src/net/serverexchange.h
+++ b/src/net/serverexchange.h
@@ -17,7 +17,8 @@
     // Sends the answer. May be called once, from any thread; further calls do nothing.
     virtual void respond(HttpResponse response) = 0;
 
-    std::shared_ptr<const HttpRequest> request;
+    // The handler may change it before it shares it.
+    std::shared_ptr<HttpRequest> request;
     // IP address of the sender, without port.
     std::string remoteAddress;
     // Free for the handler, which sets it within `handleRequest`.
