Run the call path of NodeCore on its components

Two faults were found: an instance whose backend server is down refused fast, reported no load and attracted all calls; and a test waited less than the deadline of a booking. Conclusion: such refusals count as a failure of the instance.

--- a/src/core/node/forwarder.cpp
+++ b/src/core/node/forwarder.cpp
@@ -4,6 +4,15 @@
 
 namespace wisteriafork {
 
+namespace {
+
+bool isServingTrouble(RefusalReason reason)
+{
+    return reason == RefusalReason::ServerFailed || reason == RefusalReason::Draining || reason == RefusalReason::NotConfigured;
+}
+
+} // namespace
+
 Forwarder::Forwarder(NodeParts &parts, AttemptObserver &observer) : m_parts(parts), m_observer(observer)
 {
 }
@@ -49,7 +58,6 @@
 void Forwarder::learn(CallState &state, const LoadReport &load, bool answered)
 {
     const Duration elapsed = m_parts.clock.now() - state.sentAt;
-    m_parts.router.answered(state.call.service, state.target, load, elapsed);
     m_parts.edge.learn(state.call, m_parts.attribution.parentOperation(state.call.id), load, elapsed, answered);
     m_parts.membership.noteAnswer(state.target, load.leaving);
     endWaiting(state);
@@ -64,6 +72,7 @@
 void Forwarder::on(const PeerAnswered &event)
 {
     if (CallState *state = findForwarded(event.id, event.peer)) {
+        m_parts.router.answered(state->call.service, event.peer, event.load, m_parts.clock.now() - state->sentAt);
         learn(*state, event.load, true);
         m_observer.forwardEnded(*state, AttemptAnswered{.status = event.status, .answerBytes = event.answerBytes});
     }
@@ -72,6 +81,12 @@
 void Forwarder::on(const PeerRefused &event)
 {
     if (CallState *state = findForwarded(event.id, event.peer)) {
+        // An instance whose backend server is down refuses fast and reports no load; taken for an answer, it would attract all calls.
+        if (isServingTrouble(event.refusal.reason)) {
+            m_parts.router.failed(state->call.service, event.peer);
+        } else {
+            m_parts.router.answered(state->call.service, event.peer, event.load, m_parts.clock.now() - state->sentAt);
+        }
         learn(*state, event.load, false);
         m_observer.forwardEnded(*state, AttemptRefused{.refusal = event.refusal});
     }
--- a/src/lab/model/model.cpp
+++ b/src/lab/model/model.cpp
@@ -271,7 +271,7 @@
             }
         }
     }
-    std::vector<std::vector<Candidate>> candidates(graph.services.size());
+    std::vector<std::vector<RouteCandidate>> candidates(graph.services.size());
     for (std::size_t index = 0; index < members.size(); ++index) {
         nodes.push_back(std::make_unique<ModelNode>(model, services[index], members[index]));
         nodeIndexes.emplace(members[index].name, index);
--- a/src/lab/model/modelnode.cpp
+++ b/src/lab/model/modelnode.cpp
@@ -38,7 +38,7 @@
 {
 }
 
-void ModelNode::configure(const std::vector<ServiceConfiguration> &services, const std::vector<std::vector<Candidate>> &candidates)
+void ModelNode::configure(const std::vector<ServiceConfiguration> &services, const std::vector<std::vector<RouteCandidate>> &candidates)
 {
     m_admission.configure(services[m_service], {});
     for (std::size_t service = 0; service < services.size(); ++service) {
--- a/src/lab/model/modelnode.h
+++ b/src/lab/model/modelnode.h
@@ -25,7 +25,7 @@
     // `service` is the number of the instance's service.
     ModelNode(Model &model, std::size_t service, const MemberInfo &self);
 
-    void configure(const std::vector<ServiceConfiguration> &services, const std::vector<std::vector<Candidate>> &candidates);
+    void configure(const std::vector<ServiceConfiguration> &services, const std::vector<std::vector<RouteCandidate>> &candidates);
 
     // A call of a caller or of the local backend server. Exactly one reply is given unless the call is cancelled.
     void enter(const std::shared_ptr<OutgoingCall> &call);
--- a/tests/node/callpath_test.cpp
+++ b/tests/node/callpath_test.cpp
@@ -53,7 +53,7 @@
     fleet.run(1s);
 
     const std::size_t request = fleet.send(shop, "books", "book", "booking-1");
-    fleet.run(1s);
+    fleet.run(3s);
 
     CHECK_FALSE(fleet.result(request).answered);
     CHECK_TRUE(fleet.result(request).refusal.has_value());
