Rename the call classes of the core

Cause: the daemon has classes named Forwarder, LocalRunner and CallTable in the same namespace, which breaks the one-definition rule. Conclusion: the core uses ForwardedCalls, LocalCalls and OpenCalls.

--- a/src/core/node/callflow.cpp
+++ b/src/core/node/callflow.cpp
@@ -41,7 +41,7 @@
 } // namespace
 
 CallFlow::CallFlow(NodeParts &parts)
-    : m_parts(parts), m_runner(parts, *this), m_forwarder(parts, *this), m_keyed(parts, m_runner, m_forwarder)
+    : m_parts(parts), m_local(parts, *this), m_forwarded(parts, *this), m_keyed(parts, m_local, m_forwarded)
 {
 }
 
@@ -109,7 +109,7 @@
             return;
         }
     }
-    m_runner.run(state);
+    m_local.run(state);
 }
 
 void CallFlow::placeAnywhere(CallState &state)
@@ -127,10 +127,10 @@
     if (choice->node == m_parts.self()) {
         state.target = choice->node;
         m_parts.router.sent(state.call.service, choice->node);
-        m_runner.run(state);
+        m_local.run(state);
         return;
     }
-    if (const std::optional<Refusal> refusal = m_forwarder.send(state, choice->node, ForwardMode::Serve, describe(choice->reason))) {
+    if (const std::optional<Refusal> refusal = m_forwarded.send(state, choice->node, ForwardMode::Serve, describe(choice->reason))) {
         refuse(state, *refusal);
     }
 }
@@ -142,9 +142,9 @@
         return;
     }
     if (state->stage == CallStage::Forwarded) {
-        m_forwarder.cancel(*state);
+        m_forwarded.cancel(*state);
     } else {
-        m_runner.cancel(*state);
+        m_local.cancel(*state);
     }
     if (CallState *remaining = m_parts.calls.find(event.id)) {
         m_parts.recordDecision(*remaining, DecisionKind::Cancelled, {}, "the caller is gone");
@@ -154,27 +154,27 @@
 
 void CallFlow::on(const ServerAnswered &event)
 {
-    m_runner.on(event);
+    m_local.on(event);
 }
 
 void CallFlow::on(const ServerFailed &event)
 {
-    m_runner.on(event);
+    m_local.on(event);
 }
 
 void CallFlow::on(const PeerAnswered &event)
 {
-    m_forwarder.on(event);
+    m_forwarded.on(event);
 }
 
 void CallFlow::on(const PeerRefused &event)
 {
-    m_forwarder.on(event);
+    m_forwarded.on(event);
 }
 
 void CallFlow::on(const PeerFailed &event)
 {
-    m_forwarder.on(event);
+    m_forwarded.on(event);
 }
 
 void CallFlow::tick()
@@ -187,7 +187,7 @@
         }
     }
     m_keyed.tick();
-    m_runner.poll();
+    m_local.poll();
 }
 
 void CallFlow::localAttemptEnded(CallState &state, const AttemptResult &result)
--- a/src/core/node/callflow.h
+++ b/src/core/node/callflow.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "core/node/attemptobserver.h"
-#include "core/node/forwarder.h"
+#include "core/node/forwardedcalls.h"
 #include "core/node/keyedcalls.h"
-#include "core/node/localrunner.h"
+#include "core/node/localcalls.h"
 #include "core/node/nodeparts.h"
 
 #include <map>
@@ -46,8 +46,8 @@
     void finish(CallState &state);
 
     NodeParts &m_parts;
-    LocalRunner m_runner;
-    Forwarder m_forwarder;
+    LocalCalls m_local;
+    ForwardedCalls m_forwarded;
     KeyedCalls m_keyed;
     // Retries that wait for their delay.
     std::multimap<TimePoint, CallId> m_delayed;
--- a/src/core/node/forwarder.cpp
+++ b/src/core/node/forwardedcalls.cpp
@@ -1,4 +1,4 @@
-#include "core/node/forwarder.h"
+#include "core/node/forwardedcalls.h"
 
 #include <utility>
 
@@ -13,11 +13,11 @@
 
 } // namespace
 
-Forwarder::Forwarder(NodeParts &parts, AttemptObserver &observer) : m_parts(parts), m_observer(observer)
+ForwardedCalls::ForwardedCalls(NodeParts &parts, AttemptObserver &observer) : m_parts(parts), m_observer(observer)
 {
 }
 
-std::optional<Refusal> Forwarder::send(CallState &state, const NodeId &to, ForwardMode mode, std::string reason)
+std::optional<Refusal> ForwardedCalls::send(CallState &state, const NodeId &to, ForwardMode mode, std::string reason)
 {
     const MemberInfo *member = m_parts.listedMember(to);
     if (member == nullptr) {
@@ -41,21 +41,21 @@
     return std::nullopt;
 }
 
-void Forwarder::cancel(CallState &state)
+void ForwardedCalls::cancel(CallState &state)
 {
     endWaiting(state);
     m_parts.router.failed(state.call.service, state.target);
     m_parts.actions.add(CancelForward{.id = state.call.id});
 }
 
-CallState *Forwarder::findForwarded(CallId id, const NodeId &peer)
+CallState *ForwardedCalls::findForwarded(CallId id, const NodeId &peer)
 {
     CallState *state = m_parts.calls.find(id);
     const bool current = state != nullptr && state->stage == CallStage::Forwarded && state->target == peer;
     return current ? state : nullptr;
 }
 
-void Forwarder::learn(CallState &state, const LoadReport &load, bool answered)
+void ForwardedCalls::learn(CallState &state, const LoadReport &load, bool answered)
 {
     const Duration elapsed = m_parts.clock.now() - state.sentAt;
     m_parts.edge.learn(state.call, m_parts.attribution.parentOperation(state.call.id), load, elapsed, answered);
@@ -63,13 +63,13 @@
     endWaiting(state);
 }
 
-void Forwarder::endWaiting(CallState &state)
+void ForwardedCalls::endWaiting(CallState &state)
 {
     m_parts.edge.stopWaiting(state.call);
     state.stage = CallStage::Placing;
 }
 
-void Forwarder::on(const PeerAnswered &event)
+void ForwardedCalls::on(const PeerAnswered &event)
 {
     if (CallState *state = findForwarded(event.id, event.peer)) {
         m_parts.router.answered(state->call.service, event.peer, event.load, m_parts.clock.now() - state->sentAt);
@@ -78,7 +78,7 @@
     }
 }
 
-void Forwarder::on(const PeerRefused &event)
+void ForwardedCalls::on(const PeerRefused &event)
 {
     if (CallState *state = findForwarded(event.id, event.peer)) {
         // An instance whose backend server is down refuses fast and reports no load; taken for an answer, it would attract all calls.
@@ -92,7 +92,7 @@
     }
 }
 
-void Forwarder::on(const PeerFailed &event)
+void ForwardedCalls::on(const PeerFailed &event)
 {
     CallState *state = findForwarded(event.id, event.peer);
     if (state == nullptr) {
--- a/src/core/node/forwarder.h
+++ b/src/core/node/forwardedcalls.h
@@ -7,10 +7,10 @@
 namespace wisteriafork {
 
 // Sends calls to other nodes and keeps the knowledge of routing and edge shedding up to date with what comes back.
-class Forwarder
+class ForwardedCalls
 {
 public:
-    Forwarder(NodeParts &parts, AttemptObserver &observer);
+    ForwardedCalls(NodeParts &parts, AttemptObserver &observer);
 
     // Sends the call to a node. Returns a refusal, and sends nothing, if too many calls wait for the service already.
     std::optional<Refusal> send(CallState &state, const NodeId &to, ForwardMode mode, std::string reason);
--- a/src/core/node/keyedcalls.cpp
+++ b/src/core/node/keyedcalls.cpp
@@ -8,8 +8,8 @@
 
 namespace wisteriafork {
 
-KeyedCalls::KeyedCalls(NodeParts &parts, LocalRunner &runner, Forwarder &forwarder)
-    : m_parts(parts), m_runner(runner), m_forwarder(forwarder), m_ownership(parts.options.ownership, parts.clock), m_openCopies(parts.clock)
+KeyedCalls::KeyedCalls(NodeParts &parts, LocalCalls &local, ForwardedCalls &forwarded)
+    : m_parts(parts), m_local(local), m_forwarded(forwarded), m_ownership(parts.options.ownership, parts.clock), m_openCopies(parts.clock)
 {
 }
 
@@ -29,7 +29,7 @@
     } else if (owner->name == m_parts.self()) {
         decide(state);
     } else if (std::optional<Refusal> refusal
-               = m_forwarder.send(state, owner->name, ForwardMode::Own, "first in rank for the request key")) {
+               = m_forwarded.send(state, owner->name, ForwardMode::Own, "first in rank for the request key")) {
         refusal->kind = RefusalKind::OutcomeUnknown;
         refuse(state, *refusal);
     }
@@ -148,11 +148,11 @@
     }
     state->ownedRun = true;
     if (const std::optional<NodeId> spare = findSpareInstance(*state)) {
-        if (!m_forwarder.send(*state, *spare, ForwardMode::Execute, "the owner's backend server has no free slot")) {
+        if (!m_forwarded.send(*state, *spare, ForwardMode::Execute, "the owner's backend server has no free slot")) {
             return;
         }
     }
-    m_runner.run(*state);
+    m_local.run(*state);
 }
 
 std::optional<NodeId> KeyedCalls::findSpareInstance(const CallState &state)
@@ -204,7 +204,7 @@
         return;
     }
     const ForwardMode mode = state->from.empty() ? ForwardMode::Own : ForwardMode::OwnRedirected;
-    if (m_forwarder.send(*state, output.to, mode, "another member owns the request key")) {
+    if (m_forwarded.send(*state, output.to, mode, "another member owns the request key")) {
         refuse(*state, unreachable);
     }
 }
--- a/src/core/node/keyedcalls.h
+++ b/src/core/node/keyedcalls.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "core/node/forwarder.h"
-#include "core/node/localrunner.h"
+#include "core/node/forwardedcalls.h"
+#include "core/node/localcalls.h"
 #include "core/node/nodeparts.h"
 #include "core/ownership/opencopies.h"
 #include "core/ownership/ownership.h"
@@ -12,7 +12,7 @@
 class KeyedCalls
 {
 public:
-    KeyedCalls(NodeParts &parts, LocalRunner &runner, Forwarder &forwarder);
+    KeyedCalls(NodeParts &parts, LocalCalls &local, ForwardedCalls &forwarded);
 
     // A new call: the local owner decides on it, or it is sent to the likely owner.
     void place(CallState &state);
@@ -54,8 +54,8 @@
     void finish(CallState &state);
 
     NodeParts &m_parts;
-    LocalRunner &m_runner;
-    Forwarder &m_forwarder;
+    LocalCalls &m_local;
+    ForwardedCalls &m_forwarded;
     Ownership m_ownership;
     OpenCopies m_openCopies;
     bool m_released = false;
--- a/src/core/node/localrunner.cpp
+++ b/src/core/node/localcalls.cpp
@@ -1,4 +1,4 @@
-#include "core/node/localrunner.h"
+#include "core/node/localcalls.h"
 
 #include <utility>
 
@@ -36,16 +36,16 @@
 
 } // namespace
 
-LocalRunner::LocalRunner(NodeParts &parts, AttemptObserver &observer) : m_parts(parts), m_observer(observer)
+LocalCalls::LocalCalls(NodeParts &parts, AttemptObserver &observer) : m_parts(parts), m_observer(observer)
 {
 }
 
-void LocalRunner::run(CallState &state)
+void LocalCalls::run(CallState &state)
 {
     apply(state, m_parts.admission.offer(state.call));
 }
 
-void LocalRunner::apply(CallState &state, const AdmissionResult &result)
+void LocalCalls::apply(CallState &state, const AdmissionResult &result)
 {
     switch (result.verdict) {
     case AdmissionVerdict::Run:
@@ -61,7 +61,7 @@
     }
 }
 
-void LocalRunner::start(CallState &state)
+void LocalCalls::start(CallState &state)
 {
     switch (m_parts.crashGuard.start(state.call.id, state.call.fingerprint)) {
     case CrashVerdict::Run:
@@ -89,18 +89,18 @@
         RunLocal{.id = state.call.id, .remaining = state.call.deadline - m_parts.clock.now(), .attemptsLeft = handed.attemptsLeft});
 }
 
-void LocalRunner::release(CallState &state, CallOutcome outcome)
+void LocalCalls::release(CallState &state, CallOutcome outcome)
 {
     const Duration waited = m_parts.attribution.finished(state.call.id, m_parts.clock.now());
     m_parts.admission.finish(state.call.id, outcome, waited);
 }
 
-void LocalRunner::endRefused(CallState &state, const Refusal &refusal)
+void LocalCalls::endRefused(CallState &state, const Refusal &refusal)
 {
     m_observer.localAttemptEnded(state, AttemptRefused{.refusal = refusal});
 }
 
-void LocalRunner::cancel(CallState &state)
+void LocalCalls::cancel(CallState &state)
 {
     if (state.stage == CallStage::Queued) {
         m_parts.admission.cancel(state.call.id);
@@ -115,7 +115,7 @@
     poll();
 }
 
-void LocalRunner::on(const ServerAnswered &event)
+void LocalCalls::on(const ServerAnswered &event)
 {
     CallState *state = m_parts.calls.find(event.id);
     if (state == nullptr || state->stage != CallStage::RunningLocally) {
@@ -127,7 +127,7 @@
     poll();
 }
 
-void LocalRunner::on(const ServerFailed &event)
+void LocalCalls::on(const ServerFailed &event)
 {
     CallState *state = m_parts.calls.find(event.id);
     if (state == nullptr || state->stage != CallStage::RunningLocally) {
@@ -147,7 +147,7 @@
     poll();
 }
 
-void LocalRunner::poll()
+void LocalCalls::poll()
 {
     for (const AdmissionResult &result : m_parts.admission.poll()) {
         if (CallState *state = m_parts.calls.find(result.id)) {
@@ -157,7 +157,7 @@
     offerHeldCalls();
 }
 
-void LocalRunner::offerHeldCalls()
+void LocalCalls::offerHeldCalls()
 {
     const std::vector<CallId> held = std::exchange(m_held, {});
     for (const CallId id : held) {
--- a/src/core/node/localrunner.h
+++ b/src/core/node/localcalls.h
@@ -9,10 +9,10 @@
 namespace wisteriafork {
 
 // Takes calls through admission, crash guard and attribution to the local backend server, and reports how each ended.
-class LocalRunner
+class LocalCalls
 {
 public:
-    LocalRunner(NodeParts &parts, AttemptObserver &observer);
+    LocalCalls(NodeParts &parts, AttemptObserver &observer);
 
     // Offers the call to the backend server. The observer may be told of a refusal before this returns.
     void run(CallState &state);
--- a/src/core/node/nodeparts.h
+++ b/src/core/node/nodeparts.h
@@ -6,9 +6,9 @@
 #include "core/crashguard/crashguard.h"
 #include "core/membership/membership.h"
 #include "core/node/actionlist.h"
-#include "core/node/calltable.h"
 #include "core/node/nodeconfiguration.h"
 #include "core/node/nodeoptions.h"
+#include "core/node/opencalls.h"
 #include "core/overload/admissioncontroller.h"
 #include "core/overload/edgegate.h"
 #include "core/routing/callattribution.h"
@@ -29,7 +29,7 @@
     const Clock &clock;
     RandomEngine random;
     ActionList actions;
-    CallTable calls;
+    OpenCalls calls;
     NodeConfiguration configuration;
     Membership membership;
     AdmissionController admission;
--- a/src/core/node/calltable.h
+++ b/src/core/node/opencalls.h
@@ -9,7 +9,7 @@
 namespace wisteriafork {
 
 // The calls that this node has not finished with, by id. References stay valid until the call is removed.
-class CallTable
+class OpenCalls
 {
 public:
     CallState &add(CallState state)
