--- a/src/core/node/action.h
+++ b/src/core/node/action.h
@@ -26,6 +26,8 @@
 {
     CallId id = 0;
     NodeId to;
+    // Address of the receiver's peer listener, "127.0.0.1:7101".
+    std::string address;
     ForwardMode mode = ForwardMode::Serve;
     Duration remaining{0};
     std::uint32_t attemptsLeft = 0;
--- /dev/null
+++ b/src/daemon/platformclient.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "daemon/corerunner.h"
+#include "daemon/eventlog.h"
+#include "net/httpclient.h"
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace wisteriafork {
+
+// Reads and watches values of the configuration service (design, 7.1) and passes them to the core. Thread safe.
+class PlatformClient : public std::enable_shared_from_this<PlatformClient>
+{
+public:
+    PlatformClient(asio::io_context &context, const Tcp::endpoint &service, CoreRunner &core, EventLog &log);
+
+    // Reads a key once.
+    void read(const std::string &key);
+    // Keeps a waiting watch on the key; an earlier watch on the key ends.
+    void startWatch(const std::string &key, std::uint64_t afterVersion);
+    void stopWatch(const std::string &key);
+    void stop();
+
+private:
+    // One watch. It ends when the number in the table is no longer its own.
+    struct Watch
+    {
+        std::uint64_t number = 0;
+        std::uint64_t afterVersion = 0;
+        std::shared_ptr<ClientExchange> exchange;
+    };
+
+    void poll(const std::string &key, std::uint64_t number);
+    void pollLater(const std::string &key, std::uint64_t number);
+    void watchAnswered(const std::string &key, std::uint64_t number, const tl::expected<HttpResponse, ExchangeError> &result);
+    // Passes the answer to the core. Returns the version, or 0 if the answer holds none.
+    std::uint64_t deliver(const std::string &key, const tl::expected<HttpResponse, ExchangeError> &result);
+
+    asio::io_context &m_context;
+    HttpClient m_client;
+    CoreRunner &m_core;
+    EventLog &m_log;
+    std::atomic<bool> m_readable = true;
+    std::mutex m_mutex;
+    std::map<std::string, Watch> m_watches;
+    std::uint64_t m_lastNumber = 0;
+    bool m_stopped = false;
+};
+
+} // namespace wisteriafork
--- /dev/null
+++ b/src/daemon/steadyclock.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "core/base/clock.h"
+
+namespace wisteriafork {
+
+// Monotonic time of the host.
+class SteadyClock : public Clock
+{
+public:
+    TimePoint now() const override
+    {
+        return std::chrono::steady_clock::now();
+    }
+};
+
+} // namespace wisteriafork
