Schedule wake-ups for retries and name the services a node keeps

Cause: retries wait for a few milliseconds, which the 100 ms tick cannot time, and a node that callers reach must know services it does not call. Conclusion: Wake handles due retries only.

--- a/src/core/node/action.h
+++ b/src/core/node/action.h
@@ -110,8 +110,8 @@
     Decision decision;
 };
 
-// Send one more `Tick` at the given time, beside the regular ones.
-struct ScheduleTick
+// Send a `Wake` at the given time.
+struct ScheduleWake
 {
     TimePoint at;
 };
@@ -123,6 +123,6 @@
 
 using Action
     = std::variant<RunLocal, ForwardCall, RespondRefused, RelayAnswer, StoreAnswer, RespondStored, DropStoredAnswer, CancelLocal,
-                   CancelForward, SendPeerMessage, ReadPlatformValue, StartWatch, StopWatch, RecordDecision, ScheduleTick, DrainComplete>;
+                   CancelForward, SendPeerMessage, ReadPlatformValue, StartWatch, StopWatch, RecordDecision, ScheduleWake, DrainComplete>;
 
 } // namespace wisteriafork
--- a/src/core/node/callflow.cpp
+++ b/src/core/node/callflow.cpp
@@ -177,7 +177,7 @@
     m_forwarded.on(event);
 }
 
-void CallFlow::tick()
+void CallFlow::on(const Wake &)
 {
     while (!m_delayed.empty() && m_delayed.begin()->first <= m_parts.clock.now()) {
         const CallId id = m_delayed.begin()->second;
@@ -186,6 +186,10 @@
             route(*state);
         }
     }
+}
+
+void CallFlow::tick()
+{
     m_keyed.tick();
     m_local.poll();
 }
@@ -239,7 +243,7 @@
     state.failedDomain = member == nullptr ? DomainId() : member->domain;
     state.stage = CallStage::Placing;
     m_delayed.emplace(now + *delay, state.call.id);
-    m_parts.actions.add(ScheduleTick{.at = now + *delay});
+    m_parts.actions.add(ScheduleWake{.at = now + *delay});
 }
 
 void CallFlow::relay(CallState &state)
--- a/src/core/node/callflow.h
+++ b/src/core/node/callflow.h
@@ -23,6 +23,7 @@
     void on(const PeerAnswered &event);
     void on(const PeerRefused &event);
     void on(const PeerFailed &event);
+    void on(const Wake &event);
     void tick();
 
     KeyedCalls &keyedCalls()
--- a/src/core/node/event.h
+++ b/src/core/node/event.h
@@ -114,6 +114,11 @@
 {
 };
 
+// The time asked for with `ScheduleWake` has come: delayed retries are due.
+struct Wake
+{
+};
+
 struct DrainRequested
 {
 };
@@ -124,6 +129,6 @@
 
 using Event = std::variant<CallArrived, CallerGone, ServerAnswered, ServerFailed, PeerAnswered, PeerRefused, PeerFailed,
                            PeerMessageReceived, PeerUnreachable, HostListRead, PlatformValueRead, PlatformReadFailed, ServerLoadRead, Tick,
-                           DrainRequested, UndrainRequested>;
+                           Wake, DrainRequested, UndrainRequested>;
 
 } // namespace wisteriafork
--- a/src/daemon/nodeshell.cpp
+++ b/src/daemon/nodeshell.cpp
@@ -26,6 +26,8 @@
     std::random_device device;
     options.seed = std::uint64_t{device()} << 32U | device();
     options.initialConfiguration = settings.configuration;
+    options.distribution.required = settings.services;
+    options.membership.seeds = settings.seeds;
     return options;
 }
 
@@ -41,7 +43,8 @@
 } // namespace
 
 NodeShell::NodeShell(asio::io_context &context, const Settings &settings, const PeerOptions &peerOptions, EventLog &log)
-    : m_settings(settings)
+    : m_context(context)
+    , m_settings(settings)
     , m_log(log)
     , m_core(coreOptions(settings), m_clock, *this)
     , m_answerer(m_calls)
@@ -194,6 +197,16 @@
     m_log.write(action.decision);
 }
 
+void NodeShell::carryOut(const ScheduleWake &action)
+{
+    const auto timer = std::make_shared<asio::steady_timer>(m_context, action.at);
+    timer->async_wait([this, timer](ErrorCode error) {
+        if (!error) {
+            m_core.post(Wake{});
+        }
+    });
+}
+
 void NodeShell::carryOut(const DrainComplete &)
 {
     m_drained = true;
--- a/src/daemon/nodeshell.h
+++ b/src/daemon/nodeshell.h
@@ -74,8 +74,10 @@
     void carryOut(const StartWatch &action);
     void carryOut(const StopWatch &action);
     void carryOut(const RecordDecision &action);
+    void carryOut(const ScheduleWake &action);
     void carryOut(const DrainComplete &action);
 
+    asio::io_context &m_context;
     const Settings &m_settings;
     EventLog &m_log;
     SteadyClock m_clock;
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -48,6 +48,10 @@
         readTransport(root);
         readConfiguration(root);
         m_settings.workers = static_cast<unsigned>(root.integer("workers", 1, MaxWorkers, m_settings.workers));
+        for (std::string &service : root.texts("services", false)) {
+            m_settings.services.emplace_back(std::move(service));
+        }
+        m_settings.seeds = root.texts("seeds", false);
         root.elements("hosts", false, [this](const nlohmann::json &value, const std::string &pointer) { readHosts(value, pointer); });
         root.reportUnknownMembers();
         if (hasErrors(m_findings)) {
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -58,6 +58,10 @@
     // A planned stop is broken off after this time.
     std::chrono::milliseconds drainBound{30000};
     EventLogOptions log;
+    // Services whose configuration and instances the node keeps from the start, beside its own and those that it calls.
+    std::vector<ServiceId> services;
+    // Peer addresses of nodes to ask at the start, while no host list is known.
+    std::vector<std::string> seeds;
     // Configuration and host lists that are in force from the start, for fixed set-ups without a configuration service.
     std::optional<Configuration> configuration;
     std::vector<HostList> hosts;
--- a/tests/node/fleet.cpp
+++ b/tests/node/fleet.cpp
@@ -232,9 +232,9 @@
     }
 }
 
-void Fleet::on(Host &host, const ScheduleTick &action)
+void Fleet::on(Host &host, const ScheduleWake &action)
 {
-    schedule(std::max(Duration(0), Duration(action.at - m_clock.now())), [this, node = host.self.name] { handle(node, Tick{}); });
+    schedule(std::max(Duration(0), Duration(action.at - m_clock.now())), [this, node = host.self.name] { handle(node, Wake{}); });
 }
 
 void Fleet::on(Host &host, const DrainComplete &)
--- a/tests/node/fleet.h
+++ b/tests/node/fleet.h
@@ -78,7 +78,7 @@
     void on(Host &host, const RespondStored &action);
     void on(Host &host, const CancelForward &action);
     void on(Host &host, const SendPeerMessage &action);
-    void on(Host &host, const ScheduleTick &action);
+    void on(Host &host, const ScheduleWake &action);
     void on(Host &host, const DrainComplete &action);
     template <typename T>
     void on(Host &, const T &)
