Check questionnaires and generate configurations from them

Teams answer questions instead of writing rules, so the check has to find what is missing or contradictory and report it all at once with pointer and line: unknown members, types, ranges, duplicate names, overlapping paths, unknown services and cycles in the calls, and answers that the at-most-once rules cannot work with. A configuration comes from text that was checked, never from unchecked answers.

The command-line tool checks, generates, compares and shows configurations and asks the administration API of a node; its tests follow with that API.

--- /dev/null
+++ b/src/core/config/configurationdiff.cpp
@@ -0,0 +1,122 @@
+#include "core/config/configurationdiff.h"
+
+#include "core/config/slices.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace wisteriafork {
+
+namespace {
+
+using nlohmann::json;
+
+// Turns a list of objects into an object by id, so that elements are matched by id.
+json byId(const json &list)
+{
+    json result = json::object();
+    for (const json &element : list) {
+        json content = element;
+        std::string id = content["id"].get<std::string>();
+        content.erase("id");
+        result[std::move(id)] = std::move(content);
+    }
+    return result;
+}
+
+json comparable(const Configuration &configuration)
+{
+    json result = json::parse(printCommonSlice(commonSlice(configuration)), nullptr, false);
+    result["tenants"] = byId(result["tenants"]);
+    std::sort(result["domains"].begin(), result["domains"].end());
+    result["version"] = configuration.version;
+    json services = json::array();
+    for (const ServiceConfiguration &service : configuration.services) {
+        json slice = json::parse(printServiceSlice(service), nullptr, false);
+        slice["operations"] = byId(slice["operations"]);
+        services.push_back(std::move(slice));
+    }
+    result["services"] = byId(services);
+    return result;
+}
+
+void compare(const json &before, const json &after, const std::string &place, std::vector<ConfigurationChange> &changes)
+{
+    if (before == after) {
+        return;
+    }
+    if (!before.is_object() || !after.is_object()) {
+        changes.push_back({.kind = ChangeKind::Changed, .place = place, .before = before.dump(), .after = after.dump()});
+        return;
+    }
+    std::set<std::string> names;
+    for (const json *side : {&before, &after}) {
+        for (const auto &[name, value] : side->items()) {
+            names.insert(name);
+        }
+    }
+    for (const std::string &name : names) {
+        const std::string inner = place.empty() ? name : place + "/" + name;
+        if (!before.contains(name)) {
+            changes.push_back({.kind = ChangeKind::Added, .place = inner, .before = "", .after = after[name].dump()});
+        } else if (!after.contains(name)) {
+            changes.push_back({.kind = ChangeKind::Removed, .place = inner, .before = before[name].dump(), .after = ""});
+        } else {
+            compare(before[name], after[name], inner, changes);
+        }
+    }
+}
+
+std::string_view kindName(ChangeKind kind)
+{
+    switch (kind) {
+    case ChangeKind::Added:
+        return "added";
+    case ChangeKind::Removed:
+        return "removed";
+    case ChangeKind::Changed:
+        return "changed";
+    }
+    return "changed";
+}
+
+} // namespace
+
+std::vector<ConfigurationChange> compareConfigurations(const Configuration &before, const Configuration &after)
+{
+    std::vector<ConfigurationChange> changes;
+    compare(comparable(before), comparable(after), "", changes);
+    return changes;
+}
+
+std::string describeChanges(const std::vector<ConfigurationChange> &changes)
+{
+    std::string text;
+    for (const ConfigurationChange &change : changes) {
+        text += std::string(kindName(change.kind)) + " " + change.place;
+        if (change.kind == ChangeKind::Changed) {
+            text += ": " + change.before + " -> " + change.after;
+        } else {
+            text += ": " + (change.kind == ChangeKind::Added ? change.after : change.before);
+        }
+        text += "\n";
+    }
+    return text;
+}
+
+std::string printChanges(const std::vector<ConfigurationChange> &changes)
+{
+    json list = json::array();
+    for (const ConfigurationChange &change : changes) {
+        list.push_back({{"kind", kindName(change.kind)},
+                        {"place", change.place},
+                        {"before", change.before.empty() ? json() : json::parse(change.before, nullptr, false)},
+                        {"after", change.after.empty() ? json() : json::parse(change.after, nullptr, false)}});
+    }
+    return list.dump();
+}
+
+} // namespace wisteriafork
--- a/src/core/config/objectreader.cpp
+++ b/src/core/config/objectreader.cpp
@@ -169,6 +169,14 @@
     }
 }
 
+void ObjectReader::requireElement(std::string_view name)
+{
+    const nlohmann::json *found = member(name);
+    if (found != nullptr && found->is_array() && found->empty()) {
+        error(name, "at least one element is needed");
+    }
+}
+
 std::vector<std::string> ObjectReader::texts(std::string_view name, bool isRequired)
 {
     std::vector<std::string> values;
--- a/src/core/config/objectreader.h
+++ b/src/core/config/objectreader.h
@@ -44,6 +44,9 @@
     void elements(std::string_view name, bool required,
                   const std::function<void(const nlohmann::json &, const std::string &)> &readElement);
 
+    // Reports a list that is present and has no elements.
+    void requireElement(std::string_view name);
+
     // The member, marked as known; null if absent.
     const nlohmann::json *member(std::string_view name);
 
--- /dev/null
+++ b/src/ctl/configurationfile.cpp
@@ -0,0 +1,44 @@
+#include "ctl/configurationfile.h"
+
+#include "ctl/textfile.h"
+
+#include <utility>
+
+namespace wisteriafork {
+
+namespace {
+
+CommandFailure describe(const std::string &source, const Findings &findings)
+{
+    std::string message = source + " is not a valid configuration";
+    for (const Finding &finding : findings) {
+        message += "\n  " + describeFinding(finding);
+    }
+    return {.code = ExitCode::Negative, .message = std::move(message)};
+}
+
+} // namespace
+
+tl::expected<ConfigurationFile, CommandFailure> readConfigurationText(std::string_view text, const std::string &source)
+{
+    auto published = parsePublished(text);
+    if (!published) {
+        return tl::unexpected(describe(source, published.error()));
+    }
+    auto configuration = readPublished(*published);
+    if (!configuration) {
+        return tl::unexpected(describe(source, configuration.error()));
+    }
+    return ConfigurationFile{.published = *std::move(published), .configuration = *std::move(configuration)};
+}
+
+tl::expected<ConfigurationFile, CommandFailure> readConfigurationFile(const std::string &path)
+{
+    const auto text = readTextFile(path);
+    if (!text) {
+        return tl::unexpected(CommandFailure{.code = ExitCode::FileError, .message = text.error()});
+    }
+    return readConfigurationText(*text, path);
+}
+
+} // namespace wisteriafork
--- /dev/null
+++ b/src/ctl/httpclient.cpp
@@ -0,0 +1,179 @@
+#include "ctl/httpclient.h"
+
+// Asio 1.74 uses std::exchange without this header, which g++ 12 reports in C++20 mode.
+#include <utility>
+
+#include <optional>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ssl.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/beast/ssl.hpp>
+
+namespace wisteriafork {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::system::error_code;
+
+constexpr std::uint64_t MaximumAnswerBytes = 256'000'000;
+
+struct Address
+{
+    bool tls = false;
+    std::string host;
+    std::string port;
+};
+
+std::optional<Address> parseUrl(std::string url)
+{
+    Address address;
+    if (url.starts_with("https://")) {
+        address.tls = true;
+    } else if (!url.starts_with("http://")) {
+        return std::nullopt;
+    }
+    url.erase(0, address.tls ? 8 : 7);
+    if (url.ends_with('/')) {
+        url.pop_back();
+    }
+    const std::size_t colon = url.rfind(':');
+    if (colon == std::string::npos || colon == 0 || colon + 1 == url.size() || url.find('/') != std::string::npos) {
+        return std::nullopt;
+    }
+    address.host = url.substr(0, colon);
+    address.port = url.substr(colon + 1);
+    if (address.host.starts_with('[') && address.host.ends_with(']')) {
+        address.host = address.host.substr(1, address.host.size() - 2);
+    }
+    return address;
+}
+
+// One request on one connection. The operations are asynchronous because the timeouts of Beast work only for those; each is run to its end
+// before the next starts.
+class Exchange
+{
+public:
+    Exchange(const HttpClientOptions &options, Address address) : m_options(options), m_address(std::move(address))
+    {
+    }
+
+    tl::expected<HttpAnswer, std::string> run(const http::request<http::string_body> &request)
+    {
+        return m_address.tls ? runTls(request) : runPlain(request);
+    }
+
+private:
+    template <typename Start>
+    error_code wait(Start start)
+    {
+        error_code result = asio::error::operation_aborted;
+        start([&result](error_code error, auto &&...) { result = error; });
+        m_context.restart();
+        m_context.run();
+        return result;
+    }
+
+    std::string connect(beast::tcp_stream &stream)
+    {
+        error_code error;
+        asio::ip::tcp::resolver resolver(m_context);
+        const auto endpoints = resolver.resolve(m_address.host, m_address.port, error);
+        if (error) {
+            return "cannot resolve " + m_address.host + ": " + error.message();
+        }
+        stream.expires_after(m_options.timeout);
+        error = wait([&](auto handler) { stream.async_connect(endpoints, std::move(handler)); });
+        return error ? "cannot connect to " + m_options.url + ": " + error.message() : "";
+    }
+
+    template <typename Stream>
+    tl::expected<HttpAnswer, std::string> exchange(Stream &stream, const http::request<http::string_body> &request)
+    {
+        error_code error = wait([&](auto handler) { http::async_write(stream, request, std::move(handler)); });
+        if (error) {
+            return tl::unexpected("cannot send to " + m_options.url + ": " + error.message());
+        }
+        beast::flat_buffer buffer;
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(MaximumAnswerBytes);
+        error = wait([&](auto handler) { http::async_read(stream, buffer, parser, std::move(handler)); });
+        if (error) {
+            return tl::unexpected("no whole answer from " + m_options.url + ": " + error.message());
+        }
+        return HttpAnswer{.status = parser.get().result_int(), .body = std::move(parser.get().body())};
+    }
+
+    tl::expected<HttpAnswer, std::string> runPlain(const http::request<http::string_body> &request)
+    {
+        beast::tcp_stream stream(m_context);
+        std::string problem = connect(stream);
+        if (!problem.empty()) {
+            return tl::unexpected(std::move(problem));
+        }
+        return exchange(stream, request);
+    }
+
+    tl::expected<HttpAnswer, std::string> runTls(const http::request<http::string_body> &request)
+    {
+        asio::ssl::context keys(asio::ssl::context::tls_client);
+        error_code error;
+        if (m_options.caFile.empty()) {
+            keys.set_default_verify_paths(error);
+        } else {
+            keys.load_verify_file(m_options.caFile, error);
+        }
+        if (error) {
+            return tl::unexpected("cannot use the certificate authority: " + error.message());
+        }
+        beast::ssl_stream<beast::tcp_stream> stream(m_context, keys);
+        stream.set_verify_mode(asio::ssl::verify_peer);
+        stream.set_verify_callback(asio::ssl::host_name_verification(m_address.host));
+        // IP addresses may not be sent as server name (RFC 6066).
+        asio::ip::make_address(m_address.host, error);
+        if (error) {
+            SSL_set_tlsext_host_name(stream.native_handle(), m_address.host.c_str());
+        }
+        std::string problem = connect(beast::get_lowest_layer(stream));
+        if (!problem.empty()) {
+            return tl::unexpected(std::move(problem));
+        }
+        error = wait([&](auto handler) { stream.async_handshake(asio::ssl::stream_base::client, std::move(handler)); });
+        if (error) {
+            return tl::unexpected("TLS handshake with " + m_options.url + " failed: " + error.message());
+        }
+        return exchange(stream, request);
+    }
+
+    const HttpClientOptions &m_options;
+    Address m_address;
+    asio::io_context m_context;
+};
+
+} // namespace
+
+tl::expected<HttpAnswer, std::string> sendHttpRequest(const HttpClientOptions &options, const std::string &method,
+                                                      const std::string &target, const std::string &body)
+{
+    const std::optional<Address> address = parseUrl(options.url);
+    if (!address) {
+        return tl::unexpected("\"" + options.url + "\" is not of the form http://host:port or https://host:port");
+    }
+    http::request<http::string_body> request(http::string_to_verb(method), target, 11);
+    request.set(http::field::host, address->host + ":" + address->port);
+    request.set(http::field::connection, "close");
+    if (!options.token.empty()) {
+        request.set(http::field::authorization, "Bearer " + options.token);
+    }
+    request.body() = body;
+    request.prepare_payload();
+    return Exchange(options, *address).run(request);
+}
+
+} // namespace wisteriafork
--- /dev/null
+++ b/src/ctl/main.cpp
@@ -0,0 +1,8 @@
+#include "ctl/ctl.h"
+
+#include <iostream>
+
+int main(int argc, char **argv)
+{
+    return static_cast<int>(wisteriafork::runCtl(argc, argv, std::cout, std::cerr));
+}
--- /dev/null
+++ b/tests/config/samplefile.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <string>
+
+namespace wisteriafork {
+
+// Text of a file in the folder samples/; empty if it cannot be read.
+inline std::string readSample(const std::string &name)
+{
+    std::ifstream file(std::filesystem::path(__FILE__).parent_path() / "../../samples" / name, std::ios::binary);
+    return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
+} // namespace wisteriafork
