--- /dev/null
+++ b/src/admin/adminhandler.cpp
@@ -0,0 +1,205 @@
+#include "admin/adminhandler.h"
+
+#include "admin/adminjson.h"
+#include "admin/dryrun.h"
+#include "admin/schema.h"
+#include "core/config/publishedconfiguration.h"
+
+#include <algorithm>
+#include <optional>
+
+#include <nlohmann/json.hpp>
+
+namespace wisteriafork {
+
+namespace {
+
+using nlohmann::json;
+
+AdminResponse jsonResponse(const json &body)
+{
+    return {.body = body.dump(-1, ' ', false, json::error_handler_t::replace) + "\n"};
+}
+
+std::optional<unsigned> hexDigit(char character)
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    const char lower = character >= 'A' && character <= 'F' ? static_cast<char>(character - 'A' + 'a') : character;
+    const std::size_t position = digits.find(lower);
+    return position == std::string_view::npos ? std::nullopt : std::optional(static_cast<unsigned>(position));
+}
+
+// Decodes %XX; empty if an escape is malformed.
+std::optional<std::string> percentDecoded(std::string_view text)
+{
+    std::string result;
+    for (std::size_t index = 0; index < text.size(); ++index) {
+        if (text[index] != '%') {
+            result += text[index];
+            continue;
+        }
+        const auto high = index + 2 < text.size() ? hexDigit(text[index + 1]) : std::nullopt;
+        const auto low = index + 2 < text.size() ? hexDigit(text[index + 2]) : std::nullopt;
+        if (!high || !low) {
+            return std::nullopt;
+        }
+        result += static_cast<char>(*high * 16 + *low);
+        index += 2;
+    }
+    return result;
+}
+
+bool maySee(const AccessToken &token, const TenantId &tenant)
+{
+    return token.tenants.empty() || std::find(token.tenants.begin(), token.tenants.end(), tenant) != token.tenants.end();
+}
+
+} // namespace
+
+// The only query parameter of the API is the tenant of /v1/outcomes.
+struct AdminHandler::Query
+{
+    std::optional<TenantId> tenant;
+
+    // Empty if the query is malformed or has other parameters.
+    static std::optional<Query> parse(std::string_view text, bool takesTenant)
+    {
+        Query query;
+        if (text.empty()) {
+            return query;
+        }
+        constexpr std::string_view name = "tenant=";
+        if (!takesTenant || !text.starts_with(name) || text.find('&') != std::string_view::npos) {
+            return std::nullopt;
+        }
+        const auto value = percentDecoded(text.substr(name.size()));
+        if (!value || value->empty()) {
+            return std::nullopt;
+        }
+        query.tenant = TenantId(*value);
+        return query;
+    }
+};
+
+const std::vector<AdminRoute> &adminRoutes()
+{
+    static const std::vector<AdminRoute> routes{
+        {"GET", "/v1/status", AccessRight::Reader, true},
+        {"GET", "/v1/outcomes", AccessRight::Reader, true},
+        {"GET", "/v1/members", AccessRight::Reader, false},
+        {"GET", "/v1/configuration", AccessRight::Reader, false},
+        {"POST", "/v1/drain", AccessRight::Operator, false},
+        {"POST", "/v1/undrain", AccessRight::Operator, false},
+        {"POST", "/v1/questionnaire/dry-run", AccessRight::Reader, false},
+        {"GET", "/v1/schema", AccessRight::Reader, true},
+        {"GET", "/metrics", AccessRight::Reader, false},
+    };
+    return routes;
+}
+
+AdminHandler::AdminHandler(const std::vector<AccessToken> &tokens, AdministrationSource &source) : m_access(tokens), m_source(source)
+{
+}
+
+AdminResponse AdminHandler::handle(const AdminRequest &request) const
+{
+    const AccessToken *token = m_access.find(request.authorization);
+    if (token == nullptr) {
+        // Checked before the path, so that nothing is learnt without a token.
+        AdminResponse response = errorResponse(401, "token-required", "a known bearer token is needed");
+        response.headers.emplace_back("WWW-Authenticate", "Bearer");
+        return response;
+    }
+    const std::string_view target = request.target;
+    const std::size_t question = target.find('?');
+    const std::string_view path = target.substr(0, question);
+    const std::string_view queryText = question == std::string_view::npos ? std::string_view() : target.substr(question + 1);
+    const auto route
+        = std::find_if(adminRoutes().begin(), adminRoutes().end(), [&](const AdminRoute &candidate) { return candidate.path == path; });
+    AdminResponse response;
+    if (route == adminRoutes().end()) {
+        response = errorResponse(404, "unknown-path", "the API has no such path");
+    } else if (route->method != request.method) {
+        response = errorResponse(405, "method-not-allowed", "use " + std::string(route->method));
+        response.headers.emplace_back("Allow", route->method);
+    } else if (route->right == AccessRight::Operator && token->right != AccessRight::Operator) {
+        response = errorResponse(403, "missing-right", "this needs operator rights");
+    } else if (!route->forLimitedTokens && !token->tenants.empty()) {
+        response = errorResponse(403, "limited-token", "the token is limited to tenants, and this concerns all of them");
+    } else if (const auto query = Query::parse(queryText, path == "/v1/outcomes"); !query) {
+        response = errorResponse(400, "malformed-query", "the query is malformed or has unknown parameters");
+    } else {
+        response = serve(*route, *token, *query, request.body);
+    }
+    response.tokenName = token->name;
+    return response;
+}
+
+AdminResponse AdminHandler::serve(const AdminRoute &route, const AccessToken &token, const Query &query, const std::string &body) const
+{
+    if (route.path == "/v1/status") {
+        return jsonResponse(statusJson(m_source.status()));
+    }
+    if (route.path == "/v1/outcomes") {
+        return serveOutcomes(token, query);
+    }
+    if (route.path == "/v1/members") {
+        return jsonResponse(membersJson(m_source.members()));
+    }
+    if (route.path == "/v1/configuration") {
+        return serveConfiguration();
+    }
+    if (route.path == "/v1/drain" || route.path == "/v1/undrain") {
+        if (route.path == "/v1/drain") {
+            m_source.drain();
+        } else {
+            m_source.undrain();
+        }
+        AdminResponse response = jsonResponse(statusJson(m_source.status()));
+        response.status = 202;
+        return response;
+    }
+    if (route.path == "/v1/questionnaire/dry-run") {
+        return jsonResponse(dryRunJson(dryRun(body, m_source.configuration(), m_source.recentLoad())));
+    }
+    if (route.path == "/v1/schema") {
+        return {.body = std::string(administrationSchema())};
+    }
+    return {.contentType = "text/plain; version=0.0.4; charset=utf-8", .body = m_source.metricsText()};
+}
+
+AdminResponse AdminHandler::serveOutcomes(const AccessToken &token, const Query &query) const
+{
+    // The answer for another's tenant and for one that does not exist is the same.
+    if (query.tenant && !maySee(token, *query.tenant)) {
+        return errorResponse(403, "foreign-tenant", "the token does not cover this tenant");
+    }
+    OutcomesReport report = m_source.outcomes();
+    std::erase_if(report.rows, [&](const OutcomeRow &row) {
+        return !maySee(token, row.key.tenant) || (query.tenant && row.key.tenant != *query.tenant);
+    });
+    if (!token.tenants.empty()) {
+        // Overloads are counted over all tenants.
+        report.lastOverloads.clear();
+    }
+    return jsonResponse(outcomesJson(report));
+}
+
+AdminResponse AdminHandler::serveConfiguration() const
+{
+    const std::optional<Configuration> configuration = m_source.configuration();
+    if (!configuration || configuration->version == 0) {
+        return errorResponse(503, "no-configuration", "no configuration is in force yet");
+    }
+    return {.body = printPublished(publishConfiguration(*configuration))};
+}
+
+AdminResponse errorResponse(unsigned status, std::string code, const std::string &message)
+{
+    AdminResponse response = jsonResponse({{"error", {{"code", code}, {"message", message}}}});
+    response.status = status;
+    response.errorCode = std::move(code);
+    return response;
+}
+
+} // namespace wisteriafork
--- /dev/null
+++ b/src/admin/adminjson.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "admin/administrationsource.h"
+
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+namespace wisteriafork {
+
+// JSON bodies of the administration API, as described in openapi.json.
+nlohmann::json statusJson(const NodeStatus &status);
+nlohmann::json outcomesJson(const OutcomesReport &report);
+nlohmann::json membersJson(const std::vector<MemberStatus> &members);
+
+} // namespace wisteriafork
--- a/src/admin/adminserver.h
+++ b/src/admin/adminserver.h
@@ -27,7 +27,7 @@
 };
 
 // The administration API (docs/administration.md) on its own listener. Serves on the threads that run the io_context, each connection on a
-// strand. Create it with `start`; destroy it or call `stop` to close the listener and all connections.
+// strand. Create it with `start`; destroy it before the io_context, or call `stop`, to close the listener and all connections.
 class AdminServer
 {
 public:
