--- a/src/core/ownership/joinmessages.h
+++ b/src/core/ownership/joinmessages.h
@@ -4,7 +4,6 @@
 #include "core/ownership/memberid.h"
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -54,23 +53,22 @@
 };
 
 // Asks whether a member is there and says that the sender is. Joined members send it to listed members that they do not know, so that a
-// starting member whose list lacks them learns of them.
+// starting member whose list lacks them learns of them. A probe or a join of a later incarnation from the address of an earlier one proves
+// that the earlier one has ended, because only one process can hold the port.
 struct OwnershipProbe
 {
     MemberAddress sender;
     OwnerStage stage = OwnerStage::Joining;
     // True if this answers a probe; an answer is not answered.
     bool answer = false;
-    // Earlier incarnation on the same host and port, which has therefore ended.
-    std::optional<Incarnation> replaces;
 
     auto fields()
     {
-        return std::tie(sender, stage, answer, replaces);
+        return std::tie(sender, stage, answer);
     }
     auto fields() const
     {
-        return std::tie(sender, stage, answer, replaces);
+        return std::tie(sender, stage, answer);
     }
 };
 
@@ -80,17 +78,16 @@
     MemberAddress sender;
     // All terms that the sender uses, and last the new one. Terms that it gave up before using them are not listed.
     std::vector<WitnessTerm> terms;
-    std::optional<Incarnation> replaces;
     // Incarnations that the sender holds to be fenced. The receiver accepts no further joins from them.
     std::vector<MemberId> excluded;
 
     auto fields()
     {
-        return std::tie(sender, terms, replaces, excluded);
+        return std::tie(sender, terms, excluded);
     }
     auto fields() const
     {
-        return std::tie(sender, terms, replaces, excluded);
+        return std::tie(sender, terms, excluded);
     }
 };
 
--- a/src/core/ownership/joinprocess.cpp
+++ b/src/core/ownership/joinprocess.cpp
@@ -167,11 +167,9 @@
         }
         all = false;
         if (due) {
-            messages.push_back({member,
-                                OwnershipProbe{.sender = m_view.self(),
-                                               .stage = joined() ? OwnerStage::Joined : OwnerStage::Joining,
-                                               .answer = false,
-                                               .replaces = m_view.replaces()}});
+            messages.push_back(
+                {member,
+                 OwnershipProbe{.sender = m_view.self(), .stage = joined() ? OwnerStage::Joined : OwnerStage::Joining, .answer = false}});
         }
     }
     if (due && !all) {
@@ -186,7 +184,7 @@
         return;
     }
     m_joinTimer.sent(now);
-    Join join{.sender = m_view.self(), .terms = m_inUse, .replaces = m_view.replaces(), .excluded = m_view.excludedMembers(now)};
+    Join join{.sender = m_view.self(), .terms = m_inUse, .excluded = m_view.excludedMembers(now)};
     join.terms.push_back(*m_pending);
     for (const MemberAddress &member : members) {
         // A member that has not joined yet asks again all members, because their reports on others change.
--- a/src/core/ownership/opencopies.cpp
+++ b/src/core/ownership/opencopies.cpp
@@ -58,6 +58,12 @@
     m_copies.erase(found);
 }
 
+std::optional<TimePoint> OpenCopies::arrivedAt(CallId call) const
+{
+    const auto found = m_copies.find(call);
+    return found == m_copies.end() ? std::nullopt : std::optional(found->second.arrivedAt);
+}
+
 CopyChecked OpenCopies::answer(const CopyCheck &check) const
 {
     CopyChecked result{.key = check.key, .call = check.call, .youngestAge = std::nullopt};
--- a/src/core/ownership/opencopies.h
+++ b/src/core/ownership/opencopies.h
@@ -3,6 +3,7 @@
 #include "core/base/clock.h"
 #include "core/ownership/copymessages.h"
 
+#include <optional>
 #include <unordered_map>
 
 namespace wisteriafork {
@@ -21,6 +22,8 @@
     // the pause if the process was paused until just now, because the call may have waited in a socket buffer.
     TimePoint opened(CallId call, const RequestKey &key);
     void closed(CallId call);
+    // Arrival time of an open call.
+    std::optional<TimePoint> arrivedAt(CallId call) const;
 
     CopyChecked answer(const CopyCheck &check) const;
 
--- a/src/core/ownership/ownership.cpp
+++ b/src/core/ownership/ownership.cpp
@@ -57,7 +57,7 @@
     : m_options(std::move(options))
     , m_clock(clock)
     , m_self{.name = m_options.self.name, .incarnation = m_options.self.incarnation}
-    , m_view(addressOf(m_options.self), m_options.replaces)
+    , m_view(addressOf(m_options.self))
     , m_witnesses(m_self, m_options.maximumWitnessRecords)
     , m_claims(m_options)
     , m_join(m_options, m_view, clock.now())
@@ -331,7 +331,7 @@
         const MemberAddress address = addressOf(member);
         const OwnerEntry *entry = m_view.find(address.id);
         if (address.id.name != m_self.name && entry != nullptr && !entry->known && !entry->excluded) {
-            send(address, OwnershipProbe{.sender = m_view.self(), .stage = stage(), .answer = false, .replaces = m_view.replaces()});
+            send(address, OwnershipProbe{.sender = m_view.self(), .stage = stage(), .answer = false});
         }
     }
 }
--- a/src/core/ownership/ownershipmessages.cpp
+++ b/src/core/ownership/ownershipmessages.cpp
@@ -15,9 +15,7 @@
         return;
     }
     const MemberAddress &sender = message.sender;
-    if (message.replaces) {
-        m_view.proveEnded(sender, *message.replaces, m_clock.now());
-    }
+    m_view.proveEnded(sender, m_clock.now());
     if (sender.id.name != m_self.name && message.stage == OwnerStage::Joined && !m_view.refusesJoin(sender.id)) {
         const OwnerEntry *entry = m_view.find(sender.id);
         if (entry == nullptr || !entry->known) {
@@ -33,7 +31,7 @@
     if (message.answer) {
         m_join.probeAnswered(sender.id, m_clock.now());
     } else {
-        send(sender, OwnershipProbe{.sender = m_view.self(), .stage = stage(), .answer = true, .replaces = m_view.replaces()});
+        send(sender, OwnershipProbe{.sender = m_view.self(), .stage = stage(), .answer = true});
     }
     maintain();
 }
@@ -66,9 +64,7 @@
     }
     m_view.mergeTerms(message.sender, message.terms);
     m_witnesses.accept(id, message.terms);
-    if (message.replaces) {
-        m_view.proveEnded(message.sender, *message.replaces, m_clock.now());
-    }
+    m_view.proveEnded(message.sender, m_clock.now());
     JoinAcknowledged answer{.sender = m_self,
                             .joiner = id,
                             .term = term,
--- a/src/core/ownership/ownershipoptions.h
+++ b/src/core/ownership/ownershipoptions.h
@@ -6,7 +6,6 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <optional>
 
 namespace wisteriafork {
 
@@ -31,8 +30,6 @@
 {
     // This instance: name, incarnation, service, failure domain and peer address.
     MemberInfo self;
-    // Earlier incarnation on the same host and port, if it is known to have ended.
-    std::optional<Incarnation> replaces;
     // Longest retention time of the service's operations.
     Duration maximumRetention{std::chrono::seconds(100)};
     Duration hostListLag{std::chrono::seconds(30)};
--- a/src/core/ownership/ownerview.cpp
+++ b/src/core/ownership/ownerview.cpp
@@ -13,7 +13,7 @@
 
 } // namespace
 
-OwnerView::OwnerView(MemberAddress self, std::optional<Incarnation> replaces) : m_self(std::move(self)), m_replaces(replaces)
+OwnerView::OwnerView(MemberAddress self) : m_self(std::move(self))
 {
 }
 
@@ -24,10 +24,6 @@
     }
     m_list = list;
     for (const MemberInfo &member : list.members) {
-        const bool earlierSelf = member.name == m_self.id.name && member.incarnation < m_self.id.incarnation;
-        if (earlierSelf && member.peerAddress == m_self.peerAddress) {
-            m_replaces = std::max(m_replaces.value_or(0), member.incarnation);
-        }
         note({.id = {.name = member.name, .incarnation = member.incarnation}, .domain = member.domain, .peerAddress = member.peerAddress});
     }
     std::erase_if(m_entries, [this](const auto &item) {
@@ -135,21 +131,16 @@
     }
 }
 
-void OwnerView::proveEnded(const MemberAddress &successor, Incarnation upTo, TimePoint now)
+void OwnerView::proveEnded(const MemberAddress &successor, TimePoint now)
 {
     for (auto &[id, entry] : m_entries) {
-        if (id.name == successor.id.name && id.incarnation <= upTo && entry.address.peerAddress == successor.peerAddress
+        if (id.name == successor.id.name && id.incarnation < successor.id.incarnation && entry.address.peerAddress == successor.peerAddress
             && !entry.endedAt) {
             entry.endedAt = now;
         }
     }
 }
 
-std::optional<Incarnation> OwnerView::replaces() const
-{
-    return m_replaces;
-}
-
 std::vector<const OwnerEntry *> OwnerView::owners() const
 {
     std::vector<const OwnerEntry *> result;
--- a/src/core/ownership/ownerview.h
+++ b/src/core/ownership/ownerview.h
@@ -32,7 +32,7 @@
 class OwnerView
 {
 public:
-    OwnerView(MemberAddress self, std::optional<Incarnation> replaces);
+    explicit OwnerView(MemberAddress self);
 
     // Keeps the list if it is newer than the one held; returns whether it was.
     bool takeList(const HostList &list);
@@ -54,10 +54,8 @@
     // Takes over terms from a join or a report, unless later ones are known.
     void mergeTerms(const MemberAddress &address, const std::vector<WitnessTerm> &terms);
     void commitTerm(const MemberId &id, std::uint64_t term);
-    // The successor says that all incarnations of its instance up to this one, on its own address, have ended.
-    void proveEnded(const MemberAddress &successor, Incarnation upTo, TimePoint now);
-    // Latest earlier incarnation of this instance on its own address, which has ended because this process holds the port.
-    std::optional<Incarnation> replaces() const;
+    // The successor is there: all earlier incarnations of its instance on its address have ended.
+    void proveEnded(const MemberAddress &successor, TimePoint now);
 
     // Members that may be owners, without those excluded.
     std::vector<const OwnerEntry *> owners() const;
@@ -75,7 +73,6 @@
     bool reportable(const OwnerEntry &entry, TimePoint now) const;
 
     MemberAddress m_self;
-    std::optional<Incarnation> m_replaces;
     HostList m_list;
     std::map<MemberId, OwnerEntry> m_entries;
 };
