--- /dev/null
+++ b/tests/ownership/schedulecheck.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "schedule.h"
+
+#include <functional>
+#include <string>
+
+namespace wisteriafork::test {
+
+// Runs the check on random schedules; on failure the shrunk schedule is printed. The number of schedules can be changed with the variable
+// WF_SCHEDULES for long runs outside CI.
+bool checkSchedules(std::uint64_t seed, int count, const std::function<void(const Schedule &)> &check);
+
+// Runs random schedules until one gives a violation; returns it with its schedule, or an empty text if none does.
+std::string findViolation(std::uint64_t seed, int count, const std::function<std::string(const Schedule &)> &run);
+
+} // namespace wisteriafork::test
