Add the demonstration and start the owner with the configuration's times

Cause: the whole path had to run on real processes; with the default waiting times of 130 s no booking ran in it.

--- a/src/core/node/controlplane.cpp
+++ b/src/core/node/controlplane.cpp
@@ -115,6 +115,7 @@
         m_parts.admission.configure(*own, current.tenants);
     }
     m_parts.edge.configure(current.tenants);
+    m_keyed.configure();
 }
 
 void ControlPlane::carryOut()
--- a/src/core/node/keyedcalls.cpp
+++ b/src/core/node/keyedcalls.cpp
@@ -9,7 +9,7 @@
 namespace wisteriafork {
 
 KeyedCalls::KeyedCalls(NodeParts &parts, LocalCalls &local, ForwardedCalls &forwarded)
-    : m_parts(parts), m_local(local), m_forwarded(forwarded), m_ownership(parts.options.ownership, parts.clock), m_openCopies(parts.clock)
+    : m_parts(parts), m_local(local), m_forwarded(forwarded), m_openCopies(parts.clock)
 {
 }
 
@@ -38,7 +38,7 @@
 void KeyedCalls::decide(CallState &state)
 {
     const OperationConfiguration *operation = m_parts.configuration.operation(state.call.service, state.call.operation);
-    if (operation == nullptr) {
+    if (operation == nullptr || !m_ownership) {
         refuse(state, {.kind = RefusalKind::OutcomeUnknown, .reason = RefusalReason::NotConfigured});
         return;
     }
@@ -106,6 +106,35 @@
     handle(OwnershipMessageReceived{.from = from, .message = message});
 }
 
+OwnershipOptions KeyedCalls::ownershipOptions() const
+{
+    OwnershipOptions options = m_parts.options.ownership;
+    const EnvironmentBounds &bounds = m_parts.configuration.current()->bounds;
+    options.hostListLag = bounds.hostListLag;
+    options.isolationBound = bounds.isolationBound;
+    options.maximumRetention = Duration(0);
+    if (const ServiceConfiguration *service = m_parts.configuration.service(m_parts.options.self.service)) {
+        for (const OperationConfiguration &operation : service->operations) {
+            if (!operation.idempotent) {
+                options.maximumRetention = std::max<Duration>(options.maximumRetention, retentionTime(operation, bounds));
+            }
+        }
+    }
+    return options;
+}
+
+void KeyedCalls::configure()
+{
+    if (m_ownership) {
+        return;
+    }
+    m_ownership = std::make_unique<Ownership>(ownershipOptions(), m_parts.clock);
+    const auto list = m_parts.hostLists.find(m_parts.options.self.service);
+    if (list != m_parts.hostLists.end()) {
+        hostListChanged(list->second);
+    }
+}
+
 void KeyedCalls::hostListChanged(const HostList &list)
 {
     handle(ServiceListRead{.list = list});
@@ -129,12 +158,15 @@
 
 bool KeyedCalls::isReleased() const
 {
-    return m_released;
+    return m_released || !m_ownership;
 }
 
 void KeyedCalls::handle(const OwnershipInput &input)
 {
-    for (const OwnershipOutput &output : m_ownership.handle(input)) {
+    if (!m_ownership) {
+        return;
+    }
+    for (const OwnershipOutput &output : m_ownership->handle(input)) {
         std::visit([this](const auto &concrete) { on(concrete); }, output);
     }
 }
--- a/src/core/node/keyedcalls.h
+++ b/src/core/node/keyedcalls.h
@@ -6,6 +6,8 @@
 #include "core/ownership/opencopies.h"
 #include "core/ownership/ownership.h"
 
+#include <memory>
+
 namespace wisteriafork {
 
 // Takes calls of non-idempotent operations to the owner of their key, and carries out what the local owner decides.
@@ -24,18 +26,22 @@
     void closed(const CallState &state);
 
     void receive(const NodeId &from, const OwnershipMessage &message);
+    // Starts the local owner with the waiting times of the first configuration.
+    void configure();
     void hostListChanged(const HostList &list);
     void unreachable(const NodeId &member);
     void tick();
     void stop();
     bool isReleased() const;
 
-    const Ownership &ownership() const
+    // Null before the first configuration.
+    const Ownership *ownership() const
     {
-        return m_ownership;
+        return m_ownership.get();
     }
 
 private:
+    OwnershipOptions ownershipOptions() const;
     void decide(CallState &state);
     void handle(const OwnershipInput &input);
     void on(const RunKey &output);
@@ -56,7 +62,8 @@
     NodeParts &m_parts;
     LocalCalls &m_local;
     ForwardedCalls &m_forwarded;
-    Ownership m_ownership;
+    // Created with the first configuration, which gives its waiting times.
+    std::unique_ptr<Ownership> m_ownership;
     OpenCopies m_openCopies;
     bool m_released = false;
 };
--- a/src/core/node/nodecore.cpp
+++ b/src/core/node/nodecore.cpp
@@ -111,7 +111,7 @@
     return d->parts.membership;
 }
 
-const Ownership &NodeCore::ownership() const
+const Ownership *NodeCore::ownership() const
 {
     return d->calls.keyedCalls().ownership();
 }
--- a/src/core/node/nodecore.h
+++ b/src/core/node/nodecore.h
@@ -31,7 +31,8 @@
     // State of configuration and host lists for the status page.
     DistributionStatus distributionStatus() const;
     const Membership &membership() const;
-    const Ownership &ownership() const;
+    // Null before the first configuration.
+    const Ownership *ownership() const;
 
 private:
     class Private;
--- a/src/core/node/nodeoptions.h
+++ b/src/core/node/nodeoptions.h
@@ -21,8 +21,6 @@
 {
     // This instance: name, incarnation, service, failure domain and peer address.
     MemberInfo self;
-    // Earlier incarnation on the same host and port, if it is known to have ended.
-    std::optional<Incarnation> replaces;
     std::uint64_t seed = 1;
     // Configuration that is in force from the start, for fixed set-ups and tests. The node does not wait for the configuration service.
     std::optional<Configuration> initialConfiguration;
--- a/src/core/node/nodeparts.cpp
+++ b/src/core/node/nodeparts.cpp
@@ -10,7 +10,6 @@
 {
     options.membership.self = options.self;
     options.ownership.self = options.self;
-    options.ownership.replaces = options.replaces;
     options.crashGuard.self = options.self.name;
     options.crashGuard.incarnation = options.self.incarnation;
     return options;
--- a/src/lab/commandline.cpp
+++ b/src/lab/commandline.cpp
@@ -194,6 +194,39 @@
     return options;
 }
 
+tl::expected<PublishOptions, std::vector<Finding>> parsePublishArguments(std::span<char *> arguments)
+{
+    PublishOptions options;
+    std::vector<Finding> findings
+        = parseOptions(arguments, {{"platform", endpoints(options.platform)}, {"key", text(options.key)}, {"file", text(options.file)}});
+    if (options.platform.size() != 1) {
+        findings.push_back(missing("--platform"));
+    }
+    if (options.key.empty()) {
+        findings.push_back(missing("--key"));
+    }
+    if (options.file.empty()) {
+        findings.push_back(missing("--file"));
+    }
+    if (!findings.empty()) {
+        return tl::make_unexpected(std::move(findings));
+    }
+    return options;
+}
+
+tl::expected<StatsOptions, std::vector<Finding>> parseStatsArguments(std::span<char *> arguments)
+{
+    StatsOptions options;
+    std::vector<Finding> findings = parseOptions(arguments, {{"server", endpoints(options.servers)}});
+    if (options.servers.empty()) {
+        findings.push_back(missing("--server"));
+    }
+    if (!findings.empty()) {
+        return tl::make_unexpected(std::move(findings));
+    }
+    return options;
+}
+
 tl::expected<LoadOptions, std::vector<Finding>> parseLoadArguments(std::span<char *> arguments, std::string &resultFile)
 {
     LoadOptions options;
@@ -231,6 +264,10 @@
            "             [--call METHOD:PATH]... [--via IP:PORT]... [--tries N] [--call-timeout-ms N]\n"
            "  platform   run a stand-in for the configuration service and the host list\n"
            "             --port PORT\n"
+           "  publish    publish a value on the stand-in platform\n"
+           "             --platform IP:PORT --key KEY --file FILE\n"
+           "  stats      add up the counters of stand-in servers; a booking counts once however many servers ran it\n"
+           "             --server IP:PORT...\n"
            "  load       send requests as old clients do, and print the outcomes\n"
            "             --target IP:PORT... --operation NAME:METHOD:PATH:WEIGHT... --phase SECONDS:RATE...\n"
            "             [--wait-ms N] [--resend-ms N] [--resend-gap-ms N] [--seed N] [--result FILE]\n"
--- a/src/lab/loadgenerator.cpp
+++ b/src/lab/loadgenerator.cpp
@@ -119,6 +119,8 @@
     request.set(http::field::host, "localhost");
     request.set(RequestIdHeader, attempt.requestId);
     request.set("traceparent", attempt.traceParent);
+    // On loopback all callers share one address, so each request names its caller.
+    request.set("Wf-Caller", attempt.requestId);
     if (request.method() == http::verb::post) {
         request.set(http::field::content_type, "application/json");
         request.body() = nlohmann::json{{"order", attempt.requestId}}.dump();
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -3,9 +3,11 @@
 #include "lab/loadreportwriter.h"
 #include "lab/standinplatform.h"
 #include "lab/standinserver.h"
+#include "lab/statscollector.h"
 
 #include <cstdio>
 #include <fstream>
+#include <iterator>
 #include <string_view>
 
 using namespace wisteriafork;
@@ -13,7 +15,7 @@
 
 namespace {
 
-constexpr int ExitMismatch = 1;
+constexpr int ExitFailure = 1;
 constexpr int ExitUsage = 2;
 
 int reportFindings(const std::vector<Finding> &findings)
@@ -50,6 +52,51 @@
     return 0;
 }
 
+int runPublish(std::span<char *> arguments)
+{
+    const auto options = parsePublishArguments(arguments);
+    if (!options) {
+        return reportFindings(options.error());
+    }
+    std::ifstream file(options->file, std::ios::binary);
+    if (!file) {
+        return reportFindings({{.pointer = "--file", .message = "cannot be read"}});
+    }
+    HttpRequest request(http::verb::put, "/_lab/values/" + options->key, 11);
+    request.set(http::field::host, "localhost");
+    request.body().assign(std::istreambuf_iterator<char>(file), {});
+    asio::io_context context(1);
+    HttpClient client(context);
+    bool published = false;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            const auto response = co_await client.send(options->platform.front(), std::move(request), std::chrono::seconds(5));
+            published = response && response->result() == http::status::ok;
+        },
+        asio::detached);
+    context.run();
+    if (!published) {
+        std::fputs("wisteriafork-lab: the platform did not take the value\n", stderr);
+    }
+    return published ? 0 : ExitFailure;
+}
+
+int runStats(std::span<char *> arguments)
+{
+    const auto options = parseStatsArguments(arguments);
+    if (!options) {
+        return reportFindings(options.error());
+    }
+    asio::io_context context(1);
+    HttpClient client(context);
+    StatsCollector collector(client, options->servers);
+    asio::co_spawn(context, collector.collect(), asio::detached);
+    context.run();
+    std::fputs(collector.writeSummary().c_str(), stdout);
+    return collector.unreachable() == 0 ? 0 : ExitFailure;
+}
+
 int runLoad(std::span<char *> arguments)
 {
     std::string resultFile;
@@ -69,7 +116,7 @@
     for (const auto &[name, operation] : generator.result().operations) {
         mismatched += operation.mismatched;
     }
-    return mismatched == 0 ? 0 : ExitMismatch;
+    return mismatched == 0 ? 0 : ExitFailure;
 }
 
 } // namespace
@@ -84,6 +131,12 @@
     if (command == "platform") {
         return runPlatform(arguments);
     }
+    if (command == "publish") {
+        return runPublish(arguments);
+    }
+    if (command == "stats") {
+        return runStats(arguments);
+    }
     if (command == "load") {
         return runLoad(arguments);
     }
--- /dev/null
+++ b/src/lab/statscollector.cpp
@@ -0,0 +1,65 @@
+#include "lab/statscollector.h"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace wisteriafork::lab {
+
+StatsCollector::StatsCollector(HttpClient &client, std::vector<asio::ip::tcp::endpoint> servers)
+    : m_client(client), m_servers(std::move(servers))
+{
+}
+
+asio::awaitable<void> StatsCollector::collect()
+{
+    for (const asio::ip::tcp::endpoint &server : m_servers) {
+        const nlohmann::json counters = nlohmann::json::parse(co_await get(server, "/_lab/stats"), nullptr, false);
+        const nlohmann::json executions = nlohmann::json::parse(co_await get(server, "/_lab/executions"), nullptr, false);
+        if (!counters.is_object() || executions.is_discarded()) {
+            ++m_unreachable;
+            continue;
+        }
+        for (const auto &[name, value] : counters.items()) {
+            if (value.is_number_unsigned()) {
+                m_sums[name] += value.get<std::uint64_t>();
+            }
+        }
+        for (const auto &[request, count] : executions.items()) {
+            m_executions[request] += count.get<std::uint64_t>();
+        }
+    }
+}
+
+asio::awaitable<std::string> StatsCollector::get(asio::ip::tcp::endpoint server, std::string target)
+{
+    HttpRequest request(http::verb::get, target, 11);
+    request.set(http::field::host, "localhost");
+    const auto response = co_await m_client.send(server, std::move(request), std::chrono::seconds(5));
+    co_return response ? response->body() : std::string();
+}
+
+std::string StatsCollector::writeSummary() const
+{
+    std::uint64_t repeated = 0;
+    for (const auto &[request, count] : m_executions) {
+        repeated += count - 1;
+    }
+    std::string line = "backend servers:";
+    for (const char *name : {"answered", "refused", "expired", "cancelled", "wasted"}) {
+        const auto sum = m_sums.find(name);
+        line += std::string(" ") + name + " " + std::to_string(sum == m_sums.end() ? 0 : sum->second) + ",";
+    }
+    line += " bookings run " + std::to_string(m_executions.size()) + ", repeated runs " + std::to_string(repeated);
+    if (m_unreachable > 0) {
+        line += ", servers that did not answer " + std::to_string(m_unreachable);
+    }
+    return line + "\n";
+}
+
+std::size_t StatsCollector::unreachable() const
+{
+    return m_unreachable;
+}
+
+} // namespace wisteriafork::lab
