Stop listeners without breaking off requests

Planned stops under load broke off 1 to 33 of some 2,000 requests for four reasons: unused connections were closed while a request was on its way; a connection whose accept had completed was dropped when the acceptor was already closed; closing the acceptor resets handshakes in progress; and GOAWAY named a last stream while later streams were still taken, so that calls that ran were reported as not sent.

--- a/src/net/http2engine.cpp
+++ b/src/net/http2engine.cpp
@@ -391,8 +391,12 @@
         return;
     }
     d->shutDown = true;
-    const StreamId last = d->options.server ? nghttp2_session_get_last_proc_stream_id(d->session) : 0;
-    nghttp2_submit_goaway(d->session, NGHTTP2_FLAG_NONE, last, NGHTTP2_NO_ERROR, nullptr, 0);
+    if (d->options.server) {
+        // Names no last stream: a request that is on its way would be taken, but reported to the sender as not processed.
+        nghttp2_submit_shutdown_notice(d->session);
+    } else {
+        nghttp2_submit_goaway(d->session, NGHTTP2_FLAG_NONE, 0, NGHTTP2_NO_ERROR, nullptr, 0);
+    }
 }
 
 std::size_t Http2Engine::openStreams() const
--- a/src/net/http2engine.h
+++ b/src/net/http2engine.h
@@ -58,7 +58,7 @@
     // Cancels a stream. The observer is not told.
     void cancel(StreamId stream);
     void ping();
-    // Tells the peer that no further streams are accepted.
+    // Asks the peer to open no further streams. On the server side, streams that it has opened before it learns of this are still taken.
     void announceShutdown();
 
     std::size_t openStreams() const;
--- a/src/net/http2session.cpp
+++ b/src/net/http2session.cpp
@@ -20,6 +20,7 @@
                 .concurrentStreams = options.concurrentStreams,
                 .bufferedBytes = options.bufferedBytes})
     , m_timer(m_transport->strand())
+    , m_server(server)
 {
 }
 
@@ -83,7 +84,8 @@
         return;
     }
     if (m_output.empty()) {
-        const bool unused = m_engine.shuttingDown() && m_engine.openStreams() == 0;
+        // The client side closes a session that ends, because only it knows that no request is on its way.
+        const bool unused = !m_server && m_engine.shuttingDown() && m_engine.openStreams() == 0;
         if (unused || m_engine.finished()) {
             close();
         }
@@ -120,6 +122,9 @@
         }
         m_pinged = true;
         m_engine.ping();
+    } else if (!used && m_engine.shuttingDown() && silence >= m_options.pingAfter) {
+        close();
+        return;
     } else if (!used && silence >= m_options.idleTimeout) {
         m_engine.announceShutdown();
     }
--- a/src/net/http2session.h
+++ b/src/net/http2session.h
@@ -62,6 +62,7 @@
     const PeerOptions m_options;
     Http2Engine m_engine;
     LazyTimer m_timer;
+    const bool m_server;
     std::string m_output;
     std::chrono::steady_clock::time_point m_lastReceived;
     bool m_processing = false;
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -1,53 +1,35 @@
 #include "net/httpserver.h"
 
 #include "net/httpserverconnection.h"
+#include "net/listener.h"
 
 #include <mutex>
 #include <vector>
 
 namespace wisteriafork {
 
-namespace {
-
-// Pause after a failed accept, for example when no file descriptor is left.
-constexpr std::chrono::milliseconds AcceptPause{10};
-
-} // namespace
-
 class HttpServer::Private : public std::enable_shared_from_this<HttpServer::Private>
 {
 public:
-    Private(asio::io_context &ioContext, ServerHandler &handler, const HttpLimits &limits)
-        : context(ioContext)
-        , acceptor(asio::make_strand(ioContext))
-        , pause(acceptor.get_executor())
-        , shared(std::make_shared<HttpServerShared>(handler, limits))
-    {
-    }
-
-    void accept()
+    Private(ServerHandler &handler, const HttpLimits &limits) : shared(std::make_shared<HttpServerShared>(handler, limits))
     {
-        acceptor.async_accept(asio::make_strand(context), [self = shared_from_this()](const ErrorCode &error, Socket socket) {
-            self->onAccepted(error, std::move(socket));
-        });
     }
 
-    void onAccepted(const ErrorCode &error, Socket socket)
+    void createListener(asio::io_context &context)
     {
-        if (!acceptor.is_open()) {
-            return;
-        }
-        if (error) {
-            pause.expires_after(AcceptPause);
-            pause.async_wait([self = shared_from_this()](const ErrorCode &) {
-                if (self->acceptor.is_open()) {
-                    self->accept();
-                }
-            });
-            return;
-        }
-        adopt(std::move(socket));
-        accept();
+        listener = std::make_shared<Listener>(context,
+                                              Listener::Callbacks{.accepted =
+                                                                      [weak = weak_from_this()](Socket socket) {
+                                                                          if (const auto self = weak.lock()) {
+                                                                              self->adopt(std::move(socket));
+                                                                          }
+                                                                      },
+                                                                  .stopped =
+                                                                      [weak = weak_from_this()] {
+                                                                          if (const auto self = weak.lock()) {
+                                                                              self->stopConnections();
+                                                                          }
+                                                                      }});
     }
 
     void adopt(Socket socket)
@@ -66,50 +48,30 @@
         connection->start();
     }
 
-    // Connections that the kernel has completed would be reset with the listener, so they are taken first.
-    void acceptWaiting()
-    {
-        ErrorCode error;
-        acceptor.non_blocking(true, error);
-        while (!error) {
-            Socket socket(asio::make_strand(context));
-            acceptor.accept(socket, error);
-            if (!error) {
-                adopt(std::move(socket));
-            }
-        }
-    }
-
-    void stop()
+    void stopConnections()
     {
-        if (acceptor.is_open()) {
-            acceptWaiting();
-            ErrorCode error;
-            acceptor.close(error);
-        }
-        std::vector<std::weak_ptr<HttpServerConnection>> stopping;
+        std::vector<std::weak_ptr<HttpServerConnection>> open;
         {
             const std::lock_guard lock(mutex);
-            stopping.swap(connections);
+            open.swap(connections);
         }
-        for (const auto &weak : stopping) {
+        for (const auto &weak : open) {
             if (const auto connection = weak.lock()) {
                 connection->stop();
             }
         }
     }
 
-    asio::io_context &context;
-    Acceptor acceptor;
-    Timer pause;
-    std::shared_ptr<HttpServerShared> shared;
+    std::shared_ptr<Listener> listener;
+    const std::shared_ptr<HttpServerShared> shared;
     std::mutex mutex;
     std::vector<std::weak_ptr<HttpServerConnection>> connections;
 };
 
 HttpServer::HttpServer(asio::io_context &context, ServerHandler &handler, const HttpLimits &limits)
-    : d(std::make_shared<Private>(context, handler, limits))
+    : d(std::make_shared<Private>(handler, limits))
 {
+    d->createListener(context);
 }
 
 HttpServer::~HttpServer()
@@ -119,16 +81,12 @@
 
 void HttpServer::listen(const Tcp::endpoint &address)
 {
-    d->acceptor.open(address.protocol());
-    d->acceptor.set_option(Acceptor::reuse_address(true));
-    d->acceptor.bind(address);
-    d->acceptor.listen();
-    d->accept();
+    d->listener->listen(address);
 }
 
 Tcp::endpoint HttpServer::address() const
 {
-    return d->acceptor.local_endpoint();
+    return d->listener->address();
 }
 
 void HttpServer::closeAfterAnswers()
@@ -139,7 +97,7 @@
 void HttpServer::stop()
 {
     d->shared->closeAfterAnswers = true;
-    asio::dispatch(d->acceptor.get_executor(), [self = d] { self->stop(); });
+    d->listener->stop();
 }
 
 std::size_t HttpServer::connectionCount() const
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -22,7 +22,7 @@
     Tcp::endpoint address() const;
     // From now on each answer closes its connection.
     void closeAfterAnswers();
-    // Stops listening and closes connections that have no request in progress.
+    // Stops listening. Connections close after their current answer, unused ones after a short time.
     void stop();
     // Connections that are open.
     std::size_t connectionCount() const;
--- a/src/net/httpserverconnection.cpp
+++ b/src/net/httpserverconnection.cpp
@@ -16,6 +16,9 @@
 thread_local std::array<char, ReadChunk> readBuffer;
 // Time for which input is discarded after the last answer of a connection.
 constexpr std::chrono::seconds LingerTime{2};
+// Time for which an unused connection stays open after `stop`. A request may be on its way on it; closing at once was seen to break off
+// requests of callers that had just connected.
+constexpr std::chrono::milliseconds StopWait{500};
 
 } // namespace
 
@@ -74,7 +77,7 @@
     asio::dispatch(m_socket.get_executor(), [self = shared_from_this()] {
         self->m_keepAlive = false;
         if (self->m_phase == Phase::Reading && !self->m_reader.started()) {
-            self->close();
+            self->m_timer.expireAfter(StopWait);
         }
     });
 }
--- a/src/net/httpserverconnection.h
+++ b/src/net/httpserverconnection.h
@@ -34,7 +34,7 @@
 
     // Starts reading. Called once.
     void start();
-    // Closes the connection if no request is in progress, otherwise after its answer. Any thread.
+    // Closes the connection after the answer to its current request, or after a short time if there is none. Any thread.
     void stop();
 
 private:
--- a/src/net/peerserver.cpp
+++ b/src/net/peerserver.cpp
@@ -1,5 +1,6 @@
 #include "net/peerserver.h"
 
+#include "net/listener.h"
 #include "net/peerserversession.h"
 
 #include <atomic>
@@ -8,55 +9,36 @@
 
 namespace wisteriafork {
 
-namespace {
-
-// Pause after a failed accept, for example when no file descriptor is left.
-constexpr std::chrono::milliseconds AcceptPause{10};
-
-} // namespace
-
 class PeerServer::Private : public std::enable_shared_from_this<PeerServer::Private>
 {
 public:
-    Private(asio::io_context &ioContext, ServerHandler &serverHandler, const PeerOptions &peerOptions)
-        : context(ioContext)
-        , handler(serverHandler)
-        , options(peerOptions)
-        , acceptor(asio::make_strand(ioContext))
-        , pause(acceptor.get_executor())
-        , count(std::make_shared<std::atomic<std::size_t>>(0))
+    Private(ServerHandler &serverHandler, const PeerOptions &peerOptions)
+        : handler(serverHandler), options(peerOptions), count(std::make_shared<std::atomic<std::size_t>>(0))
     {
     }
 
-    void accept()
+    void createListener(asio::io_context &context)
     {
-        acceptor.async_accept(asio::make_strand(context), [self = shared_from_this()](const ErrorCode &error, Socket socket) {
-            self->onAccepted(error, std::move(socket));
-        });
+        listener = std::make_shared<Listener>(context,
+                                              Listener::Callbacks{.accepted =
+                                                                      [weak = weak_from_this()](Socket socket) {
+                                                                          if (const auto self = weak.lock()) {
+                                                                              self->adopt(std::move(socket));
+                                                                          }
+                                                                      },
+                                                                  .stopped =
+                                                                      [weak = weak_from_this()] {
+                                                                          if (const auto self = weak.lock()) {
+                                                                              self->stopSessions();
+                                                                          }
+                                                                      }});
     }
 
-    void onAccepted(const ErrorCode &error, Socket socket)
+    void adopt(Socket socket)
     {
-        if (!acceptor.is_open()) {
-            return;
-        }
-        if (error) {
-            pause.expires_after(AcceptPause);
-            pause.async_wait([self = shared_from_this()](const ErrorCode &) {
-                if (self->acceptor.is_open()) {
-                    self->accept();
-                }
-            });
+        if (*count >= options.limits.connections) {
             return;
         }
-        if (*count < options.limits.connections) {
-            adopt(std::move(socket));
-        }
-        accept();
-    }
-
-    void adopt(Socket socket)
-    {
         const auto session
             = std::make_shared<PeerServerSession>(makePeerTransport(std::move(socket), options.tls), options, handler, count);
         {
@@ -69,35 +51,32 @@
         session->start();
     }
 
-    void stop()
+    void stopSessions()
     {
-        ErrorCode ignored;
-        acceptor.close(ignored);
-        std::vector<std::weak_ptr<PeerServerSession>> stopping;
+        std::vector<std::weak_ptr<PeerServerSession>> open;
         {
             const std::lock_guard lock(mutex);
-            stopping.swap(sessions);
+            open.swap(sessions);
         }
-        for (const auto &weak : stopping) {
+        for (const auto &weak : open) {
             if (const auto session = weak.lock()) {
                 session->shutDown();
             }
         }
     }
 
-    asio::io_context &context;
     ServerHandler &handler;
     const PeerOptions options;
-    Acceptor acceptor;
-    Timer pause;
-    std::shared_ptr<std::atomic<std::size_t>> count;
+    std::shared_ptr<Listener> listener;
+    const std::shared_ptr<std::atomic<std::size_t>> count;
     std::mutex mutex;
     std::vector<std::weak_ptr<PeerServerSession>> sessions;
 };
 
 PeerServer::PeerServer(asio::io_context &context, ServerHandler &handler, const PeerOptions &options)
-    : d(std::make_shared<Private>(context, handler, options))
+    : d(std::make_shared<Private>(handler, options))
 {
+    d->createListener(context);
 }
 
 PeerServer::~PeerServer()
@@ -107,21 +86,17 @@
 
 void PeerServer::listen(const Tcp::endpoint &address)
 {
-    d->acceptor.open(address.protocol());
-    d->acceptor.set_option(Acceptor::reuse_address(true));
-    d->acceptor.bind(address);
-    d->acceptor.listen();
-    d->accept();
+    d->listener->listen(address);
 }
 
 Tcp::endpoint PeerServer::address() const
 {
-    return d->acceptor.local_endpoint();
+    return d->listener->address();
 }
 
 void PeerServer::stop()
 {
-    asio::dispatch(d->acceptor.get_executor(), [self = d] { self->stop(); });
+    d->listener->stop();
 }
 
 std::size_t PeerServer::sessionCount() const
--- a/tests/process/nodeprocess.cpp
+++ b/tests/process/nodeprocess.cpp
@@ -32,9 +32,22 @@
 
 std::uint16_t freePort()
 {
+    // Below the range from which the kernel takes ports for outgoing connections.
+    constexpr std::uint16_t First = 20000;
+    constexpr std::uint16_t Count = 10000;
+    static std::uint16_t next = static_cast<std::uint16_t>(getpid() * 37 % Count);
     asio::io_context context;
-    const Tcp::acceptor acceptor(context, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    return acceptor.local_endpoint().port();
+    for (;;) {
+        next = static_cast<std::uint16_t>((next + 1) % Count);
+        const auto port = static_cast<std::uint16_t>(First + next);
+        Tcp::acceptor acceptor(context);
+        ErrorCode error;
+        acceptor.open(Tcp::v4(), error);
+        acceptor.bind(Tcp::endpoint(asio::ip::address_v4::loopback(), port), error);
+        if (!error) {
+            return port;
+        }
+    }
 }
 
 NodeProcess::NodeProcess(const std::string &directory, const std::string &name, const std::string &settings, std::uint16_t callerPort)
