--- a/src/core/node/action.h
+++ b/src/core/node/action.h
@@ -110,12 +110,19 @@
     Decision decision;
 };
 
+// Send one more `Tick` at the given time, beside the regular ones.
+struct ScheduleTick
+{
+    TimePoint at;
+};
+
 // Nothing is in flight any more and all records are handed over; the process may exit.
 struct DrainComplete
 {
 };
 
-using Action = std::variant<RunLocal, ForwardCall, RespondRefused, RelayAnswer, StoreAnswer, RespondStored, DropStoredAnswer, CancelLocal,
-                            CancelForward, SendPeerMessage, ReadPlatformValue, StartWatch, StopWatch, RecordDecision, DrainComplete>;
+using Action
+    = std::variant<RunLocal, ForwardCall, RespondRefused, RelayAnswer, StoreAnswer, RespondStored, DropStoredAnswer, CancelLocal,
+                   CancelForward, SendPeerMessage, ReadPlatformValue, StartWatch, StopWatch, RecordDecision, ScheduleTick, DrainComplete>;
 
 } // namespace wisteriafork
