--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -51,7 +51,7 @@
         , callerServer(context, shell.callerHandler(), settings.limits)
         , localServer(context, shell.localHandler(), settings.limits)
         , peerServer(context, shell.peerHandler(), peers)
-        , loadPoller(context, settings.server, shell.core(), log)
+        , loadPoller(context, settings.server, shell.core())
         , signals(context, SIGTERM, SIGINT)
         , tick(context, TickInterval, [this] { shell.core().post(Tick{}); })
         , sweep(context, SweepInterval, [this] { shell.sweepDeadlines(); })
@@ -80,7 +80,7 @@
     {
         draining = true;
         drainStarted = std::chrono::steady_clock::now();
-        log.write(LogEvent::DrainStarted, {{"node", settings.name.value()}});
+        log.write(EventNumber::DrainStarted, {"signal"});
         callerServer.closeAfterAnswers();
         shell.core().post(DrainRequested{});
         drainCheck.start();
@@ -114,7 +114,10 @@
             return;
         }
         exitStatus = status;
-        log.write(status == 0 ? LogEvent::DrainFinished : LogEvent::DrainBoundReached, {{"node", settings.name.value()}});
+        if (status == 0) {
+            const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(std::chrono::steady_clock::now() - drainStarted);
+            log.write(EventNumber::DrainFinished, {std::string(), std::to_string(seconds.count())});
+        }
         tick.stop();
         sweep.stop();
         loadPoller.stop();
@@ -132,11 +135,9 @@
         tick.start();
         sweep.start();
         loadPoller.start();
-        log.write(LogEvent::NodeStarted,
-                  {{"node", settings.name.value()},
-                   {"callers", text(settings.callers)},
-                   {"local", text(settings.local)},
-                   {"peers", text(settings.peers)}});
+        log.write(EventNumber::NodeStarted,
+                  {settings.name.value(), std::to_string(settings.incarnation), settings.service.value(), settings.domain.value(),
+                   text(settings.peers), WISTERIAFORK_VERSION});
         std::vector<std::thread> workers;
         for (unsigned i = 1; i < settings.workers; ++i) {
             workers.emplace_back([this] { context.run(); });
@@ -145,7 +146,7 @@
         for (std::thread &worker : workers) {
             worker.join();
         }
-        log.write(LogEvent::NodeStopped, {{"node", settings.name.value()}});
+        log.write(EventNumber::NodeStopped, {exitStatus == 0 ? "planned stop" : "planned stop broken off"});
         return exitStatus;
     }
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "daemon/eventlog.h"
 #include "daemon/settings.h"
+#include "observability/eventlog.h"
 
 #include <memory>
 
--- a/src/daemon/forwarder.cpp
+++ b/src/daemon/forwarder.cpp
@@ -37,8 +37,7 @@
                             .method = record->request->method,
                             .target = record->request->target};
     forwarded.call.attemptsLeft = action.attemptsLeft;
-    auto exchange = m_pool.send(action.address.empty() ? m_addresses[action.to] : action.address, record->request,
-                                encodeForwardedCall(forwarded, action.remaining),
+    auto exchange = m_pool.send(action.address, record->request, encodeForwardedCall(forwarded, action.remaining),
                                 [this, id, number = *attempt, peer = action.to](tl::expected<HttpResponse, ExchangeError> result) {
                                     finished(id, number, peer, std::move(result));
                                 });
@@ -93,13 +92,6 @@
                 });
 }
 
-void Forwarder::noteAddresses(const HostList &list)
-{
-    for (const MemberInfo &member : list.members) {
-        m_addresses[member.name] = member.peerAddress;
-    }
-}
-
 void Forwarder::stop()
 {
     m_pool.stop();
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -32,7 +32,11 @@
         settings.incarnation = static_cast<Incarnation>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
     }
     try {
-        EventLog log(settings.log);
+        std::ofstream file;
+        if (!settings.logFile.empty()) {
+            file.open(settings.logFile, std::ios::app);
+        }
+        EventLog log(settings.log, file.is_open() ? static_cast<std::ostream &>(file) : std::cerr);
         Daemon daemon(settings, log);
         return daemon.run();
     } catch (const std::exception &failure) {
--- a/src/daemon/nodeshell.cpp
+++ b/src/daemon/nodeshell.cpp
@@ -41,7 +41,8 @@
 } // namespace
 
 NodeShell::NodeShell(asio::io_context &context, const Settings &settings, const PeerOptions &peerOptions, EventLog &log)
-    : m_settings(settings)
+    : m_context(context)
+    , m_settings(settings)
     , m_log(log)
     , m_core(coreOptions(settings), m_clock, *this)
     , m_answerer(m_calls)
@@ -59,7 +60,6 @@
 void NodeShell::start()
 {
     for (const HostList &list : m_settings.hosts) {
-        m_forwarder.noteAddresses(list);
         m_core.post(HostListRead{.list = list});
     }
 }
@@ -194,6 +194,16 @@
     m_log.write(action.decision);
 }
 
+void NodeShell::carryOut(const ScheduleTick &action)
+{
+    auto timer = std::make_shared<Timer>(asio::make_strand(m_context), action.at);
+    timer->async_wait([this, timer](const ErrorCode &error) {
+        if (!error) {
+            m_core.post(Tick{});
+        }
+    });
+}
+
 void NodeShell::carryOut(const DrainComplete &)
 {
     m_drained = true;
--- a/src/daemon/nodeshell.h
+++ b/src/daemon/nodeshell.h
@@ -5,13 +5,13 @@
 #include "daemon/callreceiver.h"
 #include "daemon/calltable.h"
 #include "daemon/corerunner.h"
-#include "daemon/eventlog.h"
 #include "daemon/forwarder.h"
 #include "daemon/localrunner.h"
 #include "daemon/peerreceiver.h"
 #include "daemon/platformclient.h"
 #include "daemon/settings.h"
 #include "daemon/steadyclock.h"
+#include "observability/eventlog.h"
 
 #include <functional>
 #include <memory>
@@ -74,8 +74,10 @@
     void carryOut(const StartWatch &action);
     void carryOut(const StopWatch &action);
     void carryOut(const RecordDecision &action);
+    void carryOut(const ScheduleTick &action);
     void carryOut(const DrainComplete &action);
 
+    asio::io_context &m_context;
     const Settings &m_settings;
     EventLog &m_log;
     SteadyClock m_clock;
--- a/src/daemon/platformclient.cpp
+++ b/src/daemon/platformclient.cpp
@@ -144,6 +144,23 @@
     }
 }
 
+void PlatformClient::noteReachable(const std::string &key, bool reachable)
+{
+    const auto now = std::chrono::steady_clock::now();
+    std::chrono::steady_clock::duration time{0};
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_reachable == reachable) {
+            return;
+        }
+        m_reachable = reachable;
+        time = now - std::exchange(m_lastChange, now);
+    }
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(time).count();
+    m_log.write(reachable ? EventNumber::ConfigurationServiceReachable : EventNumber::ConfigurationServiceUnreachable,
+                {key, std::to_string(seconds)});
+}
+
 std::uint64_t PlatformClient::deliver(const std::string &key, const tl::expected<HttpResponse, ExchangeError> &result)
 {
     const nlohmann::json document
@@ -151,9 +168,7 @@
     const bool good = document.is_object() && document.contains("version") && document["version"].is_number_unsigned()
         && document.contains("value") && document["value"].is_string();
     const bool reachable = good || (result && result->status == 404);
-    if (m_readable.exchange(reachable) && !reachable) {
-        m_log.write(LogEvent::PlatformUnreadable, {{"key", key}});
-    }
+    noteReachable(key, reachable);
     if (!good) {
         m_core.post(PlatformReadFailed{.key = key});
         return 0;
--- a/src/daemon/platformclient.h
+++ b/src/daemon/platformclient.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "daemon/corerunner.h"
-#include "daemon/eventlog.h"
 #include "net/httpclient.h"
+#include "observability/eventlog.h"
 
-#include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -38,6 +38,8 @@
     void poll(const std::string &key, std::uint64_t number);
     void pollLater(const std::string &key, std::uint64_t number);
     void watchAnswered(const std::string &key, std::uint64_t number, const tl::expected<HttpResponse, ExchangeError> &result);
+    // Logs a change between reachable and unreachable.
+    void noteReachable(const std::string &key, bool reachable);
     // Passes the answer to the core. Returns the version, or 0 if the answer holds none.
     std::uint64_t deliver(const std::string &key, const tl::expected<HttpResponse, ExchangeError> &result);
 
@@ -45,11 +47,12 @@
     HttpClient m_client;
     CoreRunner &m_core;
     EventLog &m_log;
-    std::atomic<bool> m_readable = true;
     std::mutex m_mutex;
     std::map<std::string, Watch> m_watches;
     std::uint64_t m_lastNumber = 0;
     bool m_stopped = false;
+    bool m_reachable = true;
+    std::chrono::steady_clock::time_point m_lastChange = std::chrono::steady_clock::now();
 };
 
 } // namespace wisteriafork
--- a/src/daemon/serverloadpoller.cpp
+++ b/src/daemon/serverloadpoller.cpp
@@ -17,11 +17,10 @@
 
 } // namespace
 
-ServerLoadPoller::ServerLoadPoller(asio::io_context &context, const ServerSettings &server, CoreRunner &core, EventLog &log)
+ServerLoadPoller::ServerLoadPoller(asio::io_context &context, const ServerSettings &server, CoreRunner &core)
     : m_client(context, clientOptions(server))
     , m_timer(context, server.loadInterval, [this] { poll(); })
     , m_core(core)
-    , m_log(log)
     , m_request(std::make_shared<HttpRequest>())
 {
     m_request->method = "GET";
@@ -56,11 +55,7 @@
     const auto number = [&load](const char *name) {
         return load.is_object() && load.contains(name) && load[name].is_number_unsigned();
     };
-    const bool good = number("running") && number("slots");
-    if (m_readable.exchange(good) && !good) {
-        m_log.write(LogEvent::ServerLoadUnreadable, {{"path", m_request->target}});
-    }
-    if (good) {
+    if (number("running") && number("slots")) {
         m_core.post(ServerLoadRead{.running = load["running"].get<std::uint32_t>(), .slots = load["slots"].get<std::uint32_t>()});
     }
 }
--- a/src/daemon/serverloadpoller.h
+++ b/src/daemon/serverloadpoller.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "daemon/corerunner.h"
-#include "daemon/eventlog.h"
 #include "daemon/repeatingtimer.h"
 #include "daemon/settings.h"
 #include "net/httpclient.h"
@@ -15,7 +14,7 @@
 class ServerLoadPoller
 {
 public:
-    ServerLoadPoller(asio::io_context &context, const ServerSettings &server, CoreRunner &core, EventLog &log);
+    ServerLoadPoller(asio::io_context &context, const ServerSettings &server, CoreRunner &core);
 
     void start();
     void stop();
@@ -27,10 +26,8 @@
     HttpClient m_client;
     RepeatingTimer m_timer;
     CoreRunner &m_core;
-    EventLog &m_log;
     std::shared_ptr<HttpRequest> m_request;
     std::atomic<bool> m_pending = false;
-    std::atomic<bool> m_readable = true;
 };
 
 } // namespace wisteriafork
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -155,17 +155,18 @@
 
     void readLog(ObjectReader &reader)
     {
-        const std::vector<std::string_view> names{"debug", "info", "warning", "error"};
         if (reader.has("level")) {
-            const std::string level = reader.choice("level", names);
-            for (std::size_t i = 0; i < names.size(); ++i) {
-                if (level == names[i]) {
-                    m_settings.log.level = static_cast<LogLevel>(i);
-                }
-            }
+            m_settings.log.least
+                = parseLogSeverity(reader.choice("level", {"debug", "info", "warning", "error"})).value_or(LogSeverity::Info);
+        }
+        if (reader.has("format")) {
+            m_settings.log.format = reader.choice("format", {"json", "keyValue"}) == "keyValue" ? LogFormat::KeyValue : LogFormat::Json;
+        }
+        if (reader.has("decisions")) {
+            m_settings.log.decisions = reader.boolean("decisions");
         }
         if (reader.has("file")) {
-            m_settings.log.file = fileName(reader, "file");
+            m_settings.logFile = fileName(reader, "file");
         }
     }
 
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -4,9 +4,9 @@
 #include "core/base/memberinfo.h"
 #include "core/config/configuration.h"
 #include "core/config/findings.h"
-#include "daemon/eventlog.h"
 #include "net/endpoint.h"
 #include "net/httplimits.h"
+#include "observability/eventlog.h"
 
 #include <chrono>
 #include <optional>
@@ -57,7 +57,9 @@
     std::chrono::milliseconds drainGrace{2000};
     // A planned stop is broken off after this time.
     std::chrono::milliseconds drainBound{30000};
-    EventLogOptions log;
+    LogOptions log;
+    // Empty means the standard error stream.
+    std::string logFile;
     // Configuration and host lists that are in force from the start, for fixed set-ups without a configuration service.
     std::optional<Configuration> configuration;
     std::vector<HostList> hosts;
