--- a/src/daemon/nodeshell.cpp
+++ b/src/daemon/nodeshell.cpp
@@ -62,7 +62,6 @@
 void NodeShell::start()
 {
     for (const HostList &list : m_settings.hosts) {
-        m_forwarder.noteAddresses(list);
         m_core.post(HostListRead{.list = list});
     }
 }
@@ -199,8 +198,8 @@
 
 void NodeShell::carryOut(const ScheduleWake &action)
 {
-    const auto timer = std::make_shared<asio::steady_timer>(m_context, action.at);
-    timer->async_wait([this, timer](ErrorCode error) {
+    auto timer = std::make_shared<Timer>(asio::make_strand(m_context), action.at);
+    timer->async_wait([this, timer](const ErrorCode &error) {
         if (!error) {
             m_core.post(Wake{});
         }
--- a/src/daemon/nodeshell.h
+++ b/src/daemon/nodeshell.h
@@ -5,13 +5,13 @@
 #include "daemon/callreceiver.h"
 #include "daemon/calltable.h"
 #include "daemon/corerunner.h"
-#include "daemon/eventlog.h"
 #include "daemon/forwarder.h"
 #include "daemon/localrunner.h"
 #include "daemon/peerreceiver.h"
 #include "daemon/platformclient.h"
 #include "daemon/settings.h"
 #include "daemon/steadyclock.h"
+#include "observability/eventlog.h"
 
 #include <functional>
 #include <memory>
