--- a/src/core/overload/levelcontroller.cpp
+++ b/src/core/overload/levelcontroller.cpp
@@ -46,11 +46,14 @@
     const double windows = passed / seconds(m_options.window);
     if (ratio >= 1.0) {
         const double idle = std::min(1.0, passed / seconds(m_options.idleRecovery));
-        const double growth = std::min(ratio, std::pow(m_options.largestRise, windows));
+        const double growth = std::min(ratio, std::pow(queued < 1.0 ? m_options.riseWhenIdle : m_options.rise, windows));
         m_scale = std::min(FullScale, std::max(scaleForMass(admittedMass(m_scale) * growth), m_scale + idle * FullScale * 0.1));
     } else if (queued > target / 2) {
         const double damping = std::min(1.0, passed / seconds(m_options.feedbackDelay));
-        m_scale = std::min(m_scale, scaleForMass(admittedMass(m_scale) * std::pow(ratio, damping)));
+        const double lower = scaleForMass(admittedMass(m_scale) * std::pow(ratio, damping));
+        // Critical calls are cut only if they alone are more than the server can run: without the others the queue drains anyway.
+        const double least = m_density[static_cast<std::size_t>(CallClass::Critical)] < capacity ? CutsPerClass : 0.0;
+        m_scale = std::min(m_scale, std::max(lower, least));
     }
 }
 
--- a/src/core/overload/levelcontrolleroptions.h
+++ b/src/core/overload/levelcontrolleroptions.h
@@ -16,8 +16,9 @@
     Duration correctionTime = std::chrono::milliseconds(1000);
     // Assumed time from a change of the level to its effect on arrivals, over the whole chain.
     Duration feedbackDelay = std::chrono::milliseconds(300);
-    // Largest growth of the admitted rate in one window.
-    double largestRise = 1.02;
+    // Largest growth of the admitted rate in one window, with and without calls that wait.
+    double rise = 1.02;
+    double riseWhenIdle = 1.05;
     // Time in which the level opens completely if no call arrives.
     Duration idleRecovery = std::chrono::seconds(5);
 };
--- a/src/lab/model/graphspec.cpp
+++ b/src/lab/model/graphspec.cpp
@@ -65,8 +65,8 @@
 GraphSpec chainGraph(std::size_t depth)
 {
     constexpr unsigned BottleneckSlots = 10;
-    constexpr int BottleneckWorkMs = 80;
-    constexpr int WorkMs = 8;
+    constexpr int BottleneckWorkMs = 160;
+    constexpr int WorkMs = 10;
     GraphSpec graph;
     graph.name = "chain-" + std::to_string(depth);
     graph.domains = {"osijek", "vukovar", "pozega", "vinkovci"};
--- a/src/lab/model/graphspec.h
+++ b/src/lab/model/graphspec.h
@@ -64,7 +64,7 @@
     Duration callerWait = std::chrono::seconds(10);
     Duration resendTime = std::chrono::seconds(10);
     // Time that an old client takes from a refusal to its next send: connect and write.
-    Duration resendTurnaround = std::chrono::milliseconds(50);
+    Duration resendTurnaround = std::chrono::milliseconds(100);
 };
 
 // A chain of services, each of which calls the next; the last one is the bottleneck, and the others have slots for twice its capacity.
