Tame the opening of the admission level

Cause: each step of the cut lets in all callers that were refused in that part of the hash and resend, so a level that opened quickly alternated between a queue of hundreds of calls and an idle server; operations whose calls are all refused opened on all nodes at once for want of reports. Now the rise adapts, a burst after an opening is undone instead of cut further, a silent operation is probed by one call, critical calls are cut only for their own queue, and the age of running calls tells of a slowdown before they finish.

--- a/src/core/overload/admissioncontroller.cpp
+++ b/src/core/overload/admissioncontroller.cpp
@@ -18,6 +18,8 @@
 
 // Weight of one call in the mean holding time.
 constexpr double HoldingWeight = 0.05;
+// Ratio of holding time to the mean age of running calls. It is 2 for equal times and 1 for exponential ones.
+constexpr double AgeFactor = 1.25;
 // A holding time that was not measured for this long no longer refuses calls, so that one call measures it again.
 constexpr Duration HoldingMemory = std::chrono::seconds(1);
 constexpr Duration ShortestRetryAfter = std::chrono::seconds(1);
@@ -99,6 +101,8 @@
     std::vector<bool> blocked;
     // Mean time that a call holds a slot, in seconds.
     double holdingTime = 0.0;
+    // Sum of the start times of all running calls, in seconds.
+    double startSum = 0.0;
 };
 
 AdmissionController::AdmissionController(AdmissionOptions options, const Clock &clock) : d(std::make_unique<Private>(options, clock))
@@ -160,6 +164,7 @@
         operation.lastSample = d->clock.now();
         d->holdingTime += (d->holdingTime <= 0.0 ? 1.0 : HoldingWeight) * (sample - d->holdingTime);
     }
+    d->startSum -= seconds(call.started.time_since_epoch());
     d->running.erase(found);
     --operation.running;
     d->isolation.ended(operation);
@@ -326,7 +331,15 @@
 
 double AdmissionController::Private::capacity() const
 {
-    return holdingTime > 0.0 ? limit.limit() / holdingTime : 0.0;
+    if (holdingTime <= 0.0) {
+        return 0.0;
+    }
+    // Finished calls tell late of a slowdown, because the slow ones have not finished yet; the age of the running ones tells at once.
+    double age = 0.0;
+    if (!running.empty()) {
+        age = seconds(clock.now().time_since_epoch()) - startSum / static_cast<double>(running.size());
+    }
+    return limit.limit() / std::max(holdingTime, AgeFactor * age);
 }
 
 bool AdmissionController::Private::hasFreeSlot() const
@@ -337,6 +350,7 @@
 void AdmissionController::Private::start(CallId id, std::size_t operation)
 {
     running.emplace(id, RunningCall{.operation = operation, .started = clock.now()});
+    startSum += seconds(clock.now().time_since_epoch());
     ++operations[operation].running;
     isolation.started(operations[operation]);
     refreshBlocked();
@@ -392,7 +406,7 @@
 void AdmissionController::Private::updateLevel()
 {
     if (options.levelEnabled) {
-        level.update(static_cast<double>(queue.size()), capacity());
+        level.update(static_cast<double>(queue.size()), static_cast<double>(queue.countFrom(CallRank::Critical)), capacity());
     }
 }
 
--- a/src/core/overload/edgegate.cpp
+++ b/src/core/overload/edgegate.cpp
@@ -86,7 +86,7 @@
         return std::nullopt;
     }
     const double scale = d->scaleOf(path);
-    if (d->options.levelsEnabled && !admits(scale, call.callClass, call.requestHash)) {
+    if (d->options.levelsEnabled && !admits(scale, call.callClass, call.requestHash) && !d->paths[path].level.takeProbe(now, d->options)) {
         return refused(RefusalReason::Overloaded);
     }
     if (!d->options.sharesEnabled || call.callClass == CallClass::Critical) {
@@ -108,10 +108,21 @@
 
 std::optional<Refusal> EdgeGate::checkBelow(const CallDescription &call)
 {
-    if (call.internal || !d->options.levelsEnabled || admits(d->scaleBelow(call.operation), call.callClass, call.requestHash)) {
+    if (call.internal || !d->options.levelsEnabled) {
         return std::nullopt;
     }
-    return refused(RefusalReason::Overloaded);
+    const auto found = d->below.find(call.operation);
+    if (found == d->below.end()) {
+        return std::nullopt;
+    }
+    const TimePoint now = d->clock.now();
+    for (auto &entry : found->second) {
+        LearntLevel &level = entry.second;
+        if (!admits(level.scale(now, d->options), call.callClass, call.requestHash) && !level.takeProbe(now, d->options)) {
+            return refused(RefusalReason::Overloaded);
+        }
+    }
+    return std::nullopt;
 }
 
 std::optional<Refusal> EdgeGate::startWaiting(const CallDescription &call)
--- a/src/core/overload/edgegateoptions.h
+++ b/src/core/overload/edgegateoptions.h
@@ -11,9 +11,10 @@
 {
     // Time over which levels of the instances of a service are averaged.
     Duration levelMemory = std::chrono::milliseconds(50);
-    // Without reports for this long a learnt level starts to open, and is open after `levelRecovery` more.
-    Duration levelHold = std::chrono::milliseconds(500);
-    Duration levelRecovery = std::chrono::seconds(5);
+    // Without reports for this long, one call is let through to learn the level again.
+    Duration levelHold = std::chrono::seconds(2);
+    // A level that was not reported for this long is forgotten.
+    Duration levelMemoryLimit = std::chrono::seconds(30);
     // Most calls of this node that wait for one service at the same time.
     std::size_t waitingLimit = 1000;
     // Calls that one caller may have in flight through this node at a service under pressure.
--- a/src/core/overload/learntlevel.cpp
+++ b/src/core/overload/learntlevel.cpp
@@ -27,11 +27,16 @@
     if (!m_known) {
         return FullScale;
     }
-    const Duration silent = now - m_learnt - options.levelHold;
-    if (silent <= Duration(0)) {
-        return m_scale;
+    return now - m_learnt > options.levelMemoryLimit ? FullScale : m_scale;
+}
+
+bool LearntLevel::takeProbe(TimePoint now, const EdgeGateOptions &options)
+{
+    if (now - m_learnt < options.levelHold || now - m_probed < options.levelHold) {
+        return false;
     }
-    return std::min(FullScale, m_scale + FullScale * (std::chrono::duration<double>(silent) / options.levelRecovery));
+    m_probed = now;
+    return true;
 }
 
 } // namespace wisteriafork
--- a/src/core/overload/levelcontroller.cpp
+++ b/src/core/overload/levelcontroller.cpp
@@ -9,6 +9,10 @@
 
 // Share of a class that must be admitted before its arrivals say how many calls the whole class has.
 constexpr double LeastShareForDensity = 0.02;
+// A queue of this many times its target after the level has opened shows that it opened too fast.
+constexpr double BurstFactor = 4.0;
+// Share of the earlier level that is kept when such a burst is undone.
+constexpr double SettledShare = 0.95;
 
 double seconds(Duration duration)
 {
@@ -27,7 +31,7 @@
     m_arrivals[static_cast<std::size_t>(callClass)] += 1.0;
 }
 
-void LevelController::update(double queued, double capacity)
+void LevelController::update(double queued, double queuedCritical, double capacity)
 {
     const TimePoint now = m_clock.now();
     const Duration elapsed = now - m_windowStart;
@@ -41,19 +45,49 @@
         return;
     }
     const double target = capacity * seconds(m_options.targetDelay);
-    const double wanted = std::max(capacity - (queued - target) / seconds(m_options.correctionTime), capacity * 0.02);
+    const double correction = (queued - target) / seconds(m_options.correctionTime);
+    const double wanted = std::max(capacity - correction, capacity * m_options.leastShare);
     const double ratio = wanted / std::max(m_arrivalRate, capacity * 0.001);
-    const double windows = passed / seconds(m_options.window);
+    if (queued > target && now - m_riseHalved >= m_options.feedbackDelay) {
+        m_rise = queued > BurstFactor * target ? m_options.firstRise : std::max(m_options.firstRise, m_rise / 2);
+        m_riseHalved = now;
+    }
     if (ratio >= 1.0) {
-        const double idle = std::min(1.0, passed / seconds(m_options.idleRecovery));
-        const double growth = std::min(ratio, std::pow(queued < 1.0 ? m_options.riseWhenIdle : m_options.rise, windows));
-        m_scale = std::min(FullScale, std::max(scaleForMass(admittedMass(m_scale) * growth), m_scale + idle * FullScale * 0.1));
+        open(ratio, passed / seconds(m_options.window), queued <= target / 2);
     } else if (queued > target / 2) {
         const double damping = std::min(1.0, passed / seconds(m_options.feedbackDelay));
-        const double lower = scaleForMass(admittedMass(m_scale) * std::pow(ratio, damping));
-        // Critical calls are cut only if they alone are more than the server can run: without the others the queue drains anyway.
-        const double least = m_density[static_cast<std::size_t>(CallClass::Critical)] < capacity ? CutsPerClass : 0.0;
-        m_scale = std::min(m_scale, std::max(lower, least));
+        tightenBy(std::pow(ratio, damping), queuedCritical > capacity * seconds(m_options.criticalDelay));
+    }
+    m_settled += std::min(1.0, passed / seconds(m_options.settleTime)) * (m_scale - m_settled);
+}
+
+void LevelController::tightenBy(double factor, bool alsoCritical)
+{
+    double lower = scaleForMass(admittedMass(m_scale) * factor);
+    if (m_clock.now() - m_opened < m_options.settleTime) {
+        // Opening the level lets in waiting resends once; the rate that was admitted before is still right.
+        lower = std::max(lower, std::min(m_scale, m_settled * SettledShare));
+    }
+    // Without the other classes the queue drains, unless critical calls alone are more than the server can run.
+    const double least = alsoCritical ? 0.0 : CutsPerClass;
+    m_scale = std::min(m_scale, std::max(lower, least));
+}
+
+void LevelController::open(double ratio, double windows, bool isShort)
+{
+    if (m_scale >= FullScale) {
+        return;
+    }
+    const double growth = std::min(ratio, std::pow(1.0 + m_rise, windows));
+    const double idle = std::min(1.0, windows * seconds(m_options.window) / seconds(m_options.idleRecovery));
+    // Where no call arrives there is no rate to grow from, so the level opens by at least a little.
+    const double least = m_arrivalRate < 1.0 ? m_scale + idle * FullScale : m_scale;
+    m_scale = std::min(FullScale, std::max(scaleForMass(admittedMass(m_scale) * growth), least));
+    m_opened = m_clock.now();
+    if (isShort) {
+        m_rise
+            = std::min(m_options.largestRise,
+                       m_rise * std::pow(m_options.riseGrowth, windows * (seconds(m_options.window) / seconds(m_options.feedbackDelay))));
     }
 }
 
--- a/src/core/overload/levelcontroller.h
+++ b/src/core/overload/levelcontroller.h
@@ -21,8 +21,9 @@
     // Counts a call that is run or queued.
     void arrived(CallClass callClass);
 
-    // Closes the window if it is over. `queued` is the number of waiting calls, `capacity` the calls per second that the server can run.
-    void update(double queued, double capacity);
+    // Closes the window if it is over. `queued` is the number of waiting calls, `queuedCritical` that of critical ones among them, and
+    // `capacity` the calls per second that the server can run.
+    void update(double queued, double queuedCritical, double capacity);
 
     // Makes the level at least as strict as this at once.
     void tighten(double scale);
@@ -38,6 +39,8 @@
 
 private:
     void learnDensity(double seconds);
+    void tightenBy(double factor, bool alsoCritical);
+    void open(double ratio, double windows, bool isShort);
     double admittedMass(double scale) const;
     double scaleForMass(double mass) const;
 
@@ -50,6 +53,11 @@
     // Estimated calls per second of each class if nothing were refused.
     std::array<double, 3> m_density{};
     double m_arrivalRate = 0.0;
+    double m_rise = 0.0;
+    TimePoint m_riseHalved;
+    // Mean of the level over the settle time, and when it last opened.
+    double m_settled = FullScale;
+    TimePoint m_opened;
 };
 
 } // namespace wisteriafork
--- a/src/core/overload/levelcontrolleroptions.h
+++ b/src/core/overload/levelcontrolleroptions.h
@@ -13,12 +13,21 @@
     // Queueing delay that is kept while the service is overloaded, so that it never runs dry.
     Duration targetDelay = std::chrono::milliseconds(50);
     // Time in which a deviation of the queue from its target is corrected.
-    Duration correctionTime = std::chrono::milliseconds(1000);
+    Duration correctionTime = std::chrono::milliseconds(2000);
     // Assumed time from a change of the level to its effect on arrivals, over the whole chain.
     Duration feedbackDelay = std::chrono::milliseconds(300);
-    // Largest growth of the admitted rate in one window, with and without calls that wait.
-    double rise = 1.02;
-    double riseWhenIdle = 1.05;
+    // Growth of the admitted rate in one window. It grows by a factor with each feedback delay in which the queue stays short, and is
+    // halved when the queue passes its target: opening by one step of the cut can let in many resent requests at once.
+    double firstRise = 0.003;
+    double riseGrowth = 1.25;
+    double largestRise = 0.05;
+    // Time after an opening in which a growing queue is taken for its effect.
+    Duration settleTime = std::chrono::milliseconds(1000);
+    // The admitted rate aimed at never falls below this share of the capacity, however long the queue is: otherwise the server would run
+    // dry after the queue has drained, for as long as the level takes to open again.
+    double leastShare = 0.85;
+    // Critical calls are cut only when they alone wait for longer than this.
+    Duration criticalDelay = std::chrono::seconds(1);
     // Time in which the level opens completely if no call arrives.
     Duration idleRecovery = std::chrono::seconds(5);
 };
--- a/src/lab/model/modelnode.cpp
+++ b/src/lab/model/modelnode.cpp
@@ -279,6 +279,7 @@
 
 void ModelNode::poll()
 {
+    bool again = false;
     for (const AdmissionResult &result : m_admission.poll()) {
         const auto found = m_served.find(result.id);
         if (found == m_served.end()) {
@@ -286,11 +287,21 @@
         }
         const Served call = found->second;
         if (result.verdict == AdmissionVerdict::Run) {
+            if (const std::optional<Refusal> refusal = m_gate.checkBelow(call->call)) {
+                // The level below has changed while the call waited.
+                m_admission.cancel(result.id);
+                answer(call, ReplyKind::Refused, *refusal);
+                again = true;
+                continue;
+            }
             run(call);
         } else {
             answer(call, ReplyKind::Refused, result.refusal);
         }
     }
+    if (again) {
+        poll();
+    }
 }
 
 void ModelNode::serverEnded(const Served &call, ReplyKind kind)
