--- a/src/core/overload/admissioncontroller.cpp
+++ b/src/core/overload/admissioncontroller.cpp
@@ -77,6 +77,7 @@
     bool cannotFinish(const OperationProfile &operation, TimePoint deadline, double wait) const;
     double expectedWait(CallRank rank, std::size_t operation) const;
     double capacity() const;
+    double currentHolding() const;
     bool hasFreeSlot() const;
     void start(CallId id, std::size_t operation);
     void enqueue(const CallDescription &call, std::size_t operation);
@@ -313,7 +314,9 @@
 {
     const TimePoint now = clock.now();
     const bool known = now - operation.lastSample < HoldingMemory || operation.running > 0;
-    const double needed = wait + (known ? operation.holdingTime : 0.0);
+    // Scaled by how much slower the running calls are than the finished ones.
+    const double slower = holdingTime > 0.0 ? currentHolding() / holdingTime : 1.0;
+    const double needed = wait + (known ? operation.holdingTime * slower : 0.0);
     return now + fromSeconds(needed) > deadline;
 }
 
@@ -331,15 +334,17 @@
 
 double AdmissionController::Private::capacity() const
 {
-    if (holdingTime <= 0.0) {
-        return 0.0;
-    }
+    return holdingTime > 0.0 ? limit.limit() / currentHolding() : 0.0;
+}
+
+double AdmissionController::Private::currentHolding() const
+{
     // Finished calls tell late of a slowdown, because the slow ones have not finished yet; the age of the running ones tells at once.
     double age = 0.0;
     if (!running.empty()) {
         age = seconds(clock.now().time_since_epoch()) - startSum / static_cast<double>(running.size());
     }
-    return limit.limit() / std::max(holdingTime, AgeFactor * age);
+    return std::max(holdingTime, AgeFactor * age);
 }
 
 bool AdmissionController::Private::hasFreeSlot() const
@@ -389,7 +394,7 @@
         return;
     }
     // The least that any call needs is its own holding time; half the mean leaves room for its spread.
-    const TimePoint latest = clock.now() + fromSeconds(holdingTime / 2);
+    const TimePoint latest = clock.now() + fromSeconds(currentHolding() / 2);
     while (const std::optional<WaitingCall> late = queue.takeExpired(latest)) {
         if (late->rank == CallRank::Critical) {
             level.tighten(CriticalOnlyScale);
--- a/src/core/overload/edgegate.cpp
+++ b/src/core/overload/edgegate.cpp
@@ -44,10 +44,13 @@
         std::size_t waiting = 0;
         std::unordered_map<std::uint64_t, std::size_t> callers;
         TenantShares shares;
+        // When a level that excludes critical calls was last reported.
+        TimePoint criticalCut;
     };
 
     double scaleOf(const Path &path) const;
     double scaleBelow(const OperationId &operation) const;
+    bool takeProbe(LearntLevel &level, TimePoint criticalCut) const;
 
     EdgeGateOptions options;
     const Clock &clock;
@@ -56,10 +59,11 @@
     std::unordered_map<ServiceId, ServiceState> services;
     // Levels of the calls that each operation of the local backend server makes.
     std::unordered_map<OperationId, std::map<Path, LearntLevel>> below;
+    TimePoint criticalCutBelow;
 };
 
 EdgeGate::EdgeGate(EdgeGateOptions options, const Clock &clock)
-    : d(new Private{.options = options, .clock = clock, .tenants = {}, .paths = {}, .services = {}, .below = {}})
+    : d(new Private{.options = options, .clock = clock, .tenants = {}, .paths = {}, .services = {}, .below = {}, .criticalCutBelow = {}})
 {
 }
 
@@ -86,7 +90,8 @@
         return std::nullopt;
     }
     const double scale = d->scaleOf(path);
-    if (d->options.levelsEnabled && !admits(scale, call.callClass, call.requestHash) && !d->paths[path].level.takeProbe(now, d->options)) {
+    if (d->options.levelsEnabled && !admits(scale, call.callClass, call.requestHash)
+        && !d->takeProbe(d->paths[path].level, d->services[call.service].criticalCut)) {
         return refused(RefusalReason::Overloaded);
     }
     if (!d->options.sharesEnabled || call.callClass == CallClass::Critical) {
@@ -118,7 +123,7 @@
     const TimePoint now = d->clock.now();
     for (auto &entry : found->second) {
         LearntLevel &level = entry.second;
-        if (!admits(level.scale(now, d->options), call.callClass, call.requestHash) && !level.takeProbe(now, d->options)) {
+        if (!admits(level.scale(now, d->options), call.callClass, call.requestHash) && !d->takeProbe(level, d->criticalCutBelow)) {
             return refused(RefusalReason::Overloaded);
         }
     }
@@ -155,6 +160,9 @@
     const double scale = std::min(toScale(report.level), toScale(report.levelBelow));
     Private::PathState &state = d->paths[path];
     state.level.learn(scale, now, d->options);
+    if (scale < CutsPerClass) {
+        d->services[call.service].criticalCut = now;
+    }
     if (answered) {
         const double sample = std::chrono::duration<double>(elapsed).count();
         state.callTime += (state.callTime <= 0.0 ? 1.0 : CallTimeWeight) * (sample - state.callTime);
@@ -162,6 +170,7 @@
     }
     if (!parent.empty()) {
         d->below[parent][path].learn(scale, now, d->options);
+        d->criticalCutBelow = scale < CutsPerClass ? now : d->criticalCutBelow;
     }
 }
 
@@ -187,6 +196,13 @@
     return found == paths.end() ? FullScale : found->second.level.scale(clock.now(), options);
 }
 
+// No read is let through as a probe while critical calls are refused.
+bool EdgeGate::Private::takeProbe(LearntLevel &level, TimePoint criticalCut) const
+{
+    const TimePoint now = clock.now();
+    return now - criticalCut >= options.levelHold && level.takeProbe(now, options);
+}
+
 double EdgeGate::Private::scaleBelow(const OperationId &operation) const
 {
     double scale = FullScale;
--- a/src/core/overload/edgegateoptions.h
+++ b/src/core/overload/edgegateoptions.h
@@ -12,7 +12,7 @@
     // Time over which levels of the instances of a service are averaged.
     Duration levelMemory = std::chrono::milliseconds(50);
     // Without reports for this long, one call is let through to learn the level again.
-    Duration levelHold = std::chrono::seconds(2);
+    Duration levelHold = std::chrono::milliseconds(500);
     // A level that was not reported for this long is forgotten.
     Duration levelMemoryLimit = std::chrono::seconds(30);
     // Most calls of this node that wait for one service at the same time.
--- a/src/core/overload/levelcontroller.cpp
+++ b/src/core/overload/levelcontroller.cpp
@@ -9,6 +9,8 @@
 
 // Share of a class that must be admitted before its arrivals say how many calls the whole class has.
 constexpr double LeastShareForDensity = 0.02;
+// Largest growth in one window, for a server that is nearly idle.
+constexpr double MostRise = 0.2;
 // A queue of this many times its target after the level has opened shows that it opened too fast.
 constexpr double BurstFactor = 4.0;
 // Share of the earlier level that is kept when such a burst is undone.
@@ -78,7 +80,9 @@
     if (m_scale >= FullScale) {
         return;
     }
-    const double growth = std::min(ratio, std::pow(1.0 + m_rise, windows));
+    // A server that is far from full can take the resends that a larger step lets in.
+    const double rise = std::max(m_rise, m_options.idleGain * (ratio - m_options.idleRatio));
+    const double growth = std::min(ratio, std::pow(1.0 + std::min(rise, MostRise), windows));
     const double idle = std::min(1.0, windows * seconds(m_options.window) / seconds(m_options.idleRecovery));
     // Where no call arrives there is no rate to grow from, so the level opens by at least a little.
     const double least = m_arrivalRate < 1.0 ? m_scale + idle * FullScale : m_scale;
--- a/src/core/overload/levelcontrolleroptions.h
+++ b/src/core/overload/levelcontrolleroptions.h
@@ -11,7 +11,7 @@
     // Interval between two changes of the level.
     Duration window = std::chrono::milliseconds(50);
     // Queueing delay that is kept while the service is overloaded, so that it never runs dry.
-    Duration targetDelay = std::chrono::milliseconds(50);
+    Duration targetDelay = std::chrono::milliseconds(100);
     // Time in which a deviation of the queue from its target is corrected.
     Duration correctionTime = std::chrono::milliseconds(2000);
     // Assumed time from a change of the level to its effect on arrivals, over the whole chain.
@@ -21,6 +21,9 @@
     double firstRise = 0.003;
     double riseGrowth = 1.25;
     double largestRise = 0.05;
+    // Above this ratio of the capacity to the admitted rate, the growth is at least the gain times the excess.
+    double idleRatio = 1.3;
+    double idleGain = 0.03;
     // Time after an opening in which a growing queue is taken for its effect.
     Duration settleTime = std::chrono::milliseconds(1000);
     // The admitted rate aimed at never falls below this share of the capacity, however long the queue is: otherwise the server would run
