Judge the latency of a server over at least 30 calls

Cause: with a limit of 10, a window of 10 calls exceeded the latency tolerance by chance, and the limit was halved for a trial although the server was not contended; a trace showed limits of 5 and 6 of 10 slots in the surge.

--- a/src/core/overload/concurrencylimit.cpp
+++ b/src/core/overload/concurrencylimit.cpp
@@ -93,7 +93,9 @@
 
 unsigned ConcurrencyLimit::callsPerWindow() const
 {
-    return std::clamp(limit(), m_options.windowCalls, std::max(m_options.windowCalls, MostCallsPerWindow));
+    // A few calls are enough to let a cold server grow; a decrease needs a mean that does not reach the tolerance by chance.
+    return m_slowStart ? std::clamp(limit(), m_options.windowCalls, std::max(m_options.windowCalls, MostCallsPerWindow))
+                       : MostCallsPerWindow;
 }
 
 void ConcurrencyLimit::closeWindow()
