--- a/src/core/overload/admissioncontroller.cpp
+++ b/src/core/overload/admissioncontroller.cpp
@@ -375,7 +375,7 @@
 {
     // A critical call that finds the queue too long puts out all reads; others put out one call of a lower rank.
     do {
-        const std::optional<WaitingCall> lowest = queue.takeLowestBelow(std::min(rank, CallRank::Critical));
+        const std::optional<WaitingCall> lowest = queue.takeLowestBelow(rank == CallRank::Critical ? CallRank::Internal : rank);
         if (!lowest) {
             return;
         }
@@ -411,7 +411,7 @@
 void AdmissionController::Private::updateLevel()
 {
     if (options.levelEnabled) {
-        level.update(static_cast<double>(queue.size()), static_cast<double>(queue.countOf(CallRank::Critical)), capacity());
+        level.update(static_cast<double>(queue.size()), static_cast<double>(queue.countFrom(CallRank::Critical)), capacity());
     }
 }
 
--- a/src/core/overload/callqueue.cpp
+++ b/src/core/overload/callqueue.cpp
@@ -140,11 +140,6 @@
     return count;
 }
 
-std::size_t CallQueue::countOf(CallRank rank) const
-{
-    return m_ranks[static_cast<std::size_t>(rank)].size;
-}
-
 std::size_t CallQueue::countOfOperation(std::size_t operation) const
 {
     return operation < m_operationCounts.size() ? m_operationCounts[operation] : 0;
--- a/src/core/overload/callqueue.h
+++ b/src/core/overload/callqueue.h
@@ -16,13 +16,12 @@
 
 namespace wisteriafork {
 
-// Order in which waiting calls are served, lowest first. Internal calls of admitted reads come before critical calls, although they are
-// shed before them: work was spent on their requests, and no fresh read is admitted while critical calls wait, so they are few.
+// Importance of a waiting call, in the order of shedding. Internal calls of admitted requests come before fresh reads.
 enum class CallRank : std::uint8_t {
     Bulk = 0,
     Read = 1,
-    Critical = 2,
-    Internal = 3,
+    Internal = 2,
+    Critical = 3,
 };
 inline constexpr std::size_t RankCount = 4;
 
@@ -64,7 +63,6 @@
 
     std::size_t size() const;
     std::size_t countFrom(CallRank least) const;
-    std::size_t countOf(CallRank rank) const;
     std::size_t countOfOperation(std::size_t operation) const;
 
 private:
