--- a/src/core/overload/admissioncontroller.cpp
+++ b/src/core/overload/admissioncontroller.cpp
@@ -18,6 +18,8 @@
 
 // Weight of one call in the mean holding time.
 constexpr double HoldingWeight = 0.05;
+// Ratio of holding time to the mean age of running calls. It is 2 for equal times and 1 for exponential ones.
+constexpr double AgeFactor = 1.25;
 // A holding time that was not measured for this long no longer refuses calls, so that one call measures it again.
 constexpr Duration HoldingMemory = std::chrono::seconds(1);
 constexpr Duration ShortestRetryAfter = std::chrono::seconds(1);
@@ -75,6 +77,7 @@
     bool cannotFinish(const OperationProfile &operation, TimePoint deadline, double wait) const;
     double expectedWait(CallRank rank, std::size_t operation) const;
     double capacity() const;
+    double currentHolding() const;
     bool hasFreeSlot() const;
     void start(CallId id, std::size_t operation);
     void enqueue(const CallDescription &call, std::size_t operation);
@@ -99,6 +102,8 @@
     std::vector<bool> blocked;
     // Mean time that a call holds a slot, in seconds.
     double holdingTime = 0.0;
+    // Sum of the start times of all running calls, in seconds.
+    double startSum = 0.0;
 };
 
 AdmissionController::AdmissionController(AdmissionOptions options, const Clock &clock) : d(std::make_unique<Private>(options, clock))
@@ -160,6 +165,7 @@
         operation.lastSample = d->clock.now();
         d->holdingTime += (d->holdingTime <= 0.0 ? 1.0 : HoldingWeight) * (sample - d->holdingTime);
     }
+    d->startSum -= seconds(call.started.time_since_epoch());
     d->running.erase(found);
     --operation.running;
     d->isolation.ended(operation);
@@ -308,7 +314,9 @@
 {
     const TimePoint now = clock.now();
     const bool known = now - operation.lastSample < HoldingMemory || operation.running > 0;
-    const double needed = wait + (known ? operation.holdingTime : 0.0);
+    // Scaled by how much slower the running calls are than the finished ones.
+    const double slower = holdingTime > 0.0 ? currentHolding() / holdingTime : 1.0;
+    const double needed = wait + (known ? operation.holdingTime * slower : 0.0);
     return now + fromSeconds(needed) > deadline;
 }
 
@@ -326,7 +334,17 @@
 
 double AdmissionController::Private::capacity() const
 {
-    return holdingTime > 0.0 ? limit.limit() / holdingTime : 0.0;
+    return holdingTime > 0.0 ? limit.limit() / currentHolding() : 0.0;
+}
+
+double AdmissionController::Private::currentHolding() const
+{
+    // Finished calls tell late of a slowdown, because the slow ones have not finished yet; the age of the running ones tells at once.
+    double age = 0.0;
+    if (!running.empty()) {
+        age = seconds(clock.now().time_since_epoch()) - startSum / static_cast<double>(running.size());
+    }
+    return std::max(holdingTime, AgeFactor * age);
 }
 
 bool AdmissionController::Private::hasFreeSlot() const
@@ -337,6 +355,7 @@
 void AdmissionController::Private::start(CallId id, std::size_t operation)
 {
     running.emplace(id, RunningCall{.operation = operation, .started = clock.now()});
+    startSum += seconds(clock.now().time_since_epoch());
     ++operations[operation].running;
     isolation.started(operations[operation]);
     refreshBlocked();
@@ -375,7 +394,7 @@
         return;
     }
     // The least that any call needs is its own holding time; half the mean leaves room for its spread.
-    const TimePoint latest = clock.now() + fromSeconds(holdingTime / 2);
+    const TimePoint latest = clock.now() + fromSeconds(currentHolding() / 2);
     while (const std::optional<WaitingCall> late = queue.takeExpired(latest)) {
         if (late->rank == CallRank::Critical) {
             level.tighten(CriticalOnlyScale);
@@ -392,7 +411,7 @@
 void AdmissionController::Private::updateLevel()
 {
     if (options.levelEnabled) {
-        level.update(static_cast<double>(queue.size()), capacity());
+        level.update(static_cast<double>(queue.size()), static_cast<double>(queue.countFrom(CallRank::Critical)), capacity());
     }
 }
 
