--- a/src/core/overload/admissioncontroller.cpp
+++ b/src/core/overload/admissioncontroller.cpp
@@ -108,7 +108,6 @@
 
 AdmissionController::AdmissionController(AdmissionOptions options, const Clock &clock) : d(std::make_unique<Private>(options, clock))
 {
-    d->limit.setSlots(1, 1);
 }
 
 AdmissionController::~AdmissionController() = default;
--- a/src/core/overload/concurrencylimit.cpp
+++ b/src/core/overload/concurrencylimit.cpp
@@ -34,11 +34,11 @@
 
 void ConcurrencyLimit::setSlots(unsigned slots, std::size_t operations)
 {
-    const bool first = m_operations.empty();
     m_slots = std::max(1U, slots);
     m_operations.resize(std::max<std::size_t>(1, operations));
     m_limit = std::min(m_limit, m_slots);
-    if (first) {
+    if (!m_configured) {
+        m_configured = true;
         restart();
     }
 }
--- a/src/core/overload/concurrencylimit.h
+++ b/src/core/overload/concurrencylimit.h
@@ -57,6 +57,7 @@
     double m_slots = 1.0;
     double m_limit = 1.0;
     bool m_slowStart = true;
+    bool m_configured = false;
     std::vector<OperationLatency> m_operations;
 
     TimePoint m_windowStart;
