Let resends of refused reads wait behind fresh requests, and leave headroom when bulk is let in again

Cause: after a surge the level opens through all callers that were refused and resend, and the service stays saturated until they are served. Nodes now remember what they refused and lower resent reads to bulk, and the level opens for bulk only up to 0.8 of the capacity, so that the drain adds no queueing.

--- a/src/core/overload/edgegate.cpp
+++ b/src/core/overload/edgegate.cpp
@@ -1,6 +1,7 @@
 #include "core/overload/edgegate.h"
 
 #include "core/overload/learntlevel.h"
+#include "core/overload/refusedrequests.h"
 #include "core/overload/tenantshares.h"
 
 #include <algorithm>
@@ -48,6 +49,10 @@
         TimePoint criticalCut;
     };
 
+    Private(EdgeGateOptions gateOptions, const Clock &nodeClock) : options(gateOptions), clock(nodeClock)
+    {
+    }
+
     double scaleOf(const Path &path) const;
     double scaleBelow(const OperationId &operation) const;
     bool takeProbe(LearntLevel &level, TimePoint criticalCut) const;
@@ -60,10 +65,10 @@
     // Levels of the calls that each operation of the local backend server makes.
     std::unordered_map<OperationId, std::map<Path, LearntLevel>> below;
     TimePoint criticalCutBelow;
+    RefusedRequests refusedRequests{options.refusedLimit, options.refusedMemory};
 };
 
-EdgeGate::EdgeGate(EdgeGateOptions options, const Clock &clock)
-    : d(new Private{.options = options, .clock = clock, .tenants = {}, .paths = {}, .services = {}, .below = {}, .criticalCutBelow = {}})
+EdgeGate::EdgeGate(EdgeGateOptions options, const Clock &clock) : d(std::make_unique<Private>(options, clock))
 {
 }
 
@@ -74,6 +79,14 @@
     d->tenants.assign(tenants.begin(), tenants.end());
 }
 
+void EdgeGate::classify(CallDescription &call) const
+{
+    const bool isRead = !call.internal && call.callClass == CallClass::Read;
+    if (d->options.resendsEnabled && isRead && d->refusedRequests.contains(call.requestHash, d->clock.now())) {
+        call.callClass = CallClass::Bulk;
+    }
+}
+
 std::optional<Refusal> EdgeGate::check(const CallDescription &call)
 {
     const TimePoint now = d->clock.now();
@@ -92,6 +105,7 @@
     const double scale = d->scaleOf(path);
     if (d->options.levelsEnabled && !admits(scale, call.callClass, call.requestHash)
         && !d->takeProbe(d->paths[path].level, d->services[call.service].criticalCut)) {
+        d->refusedRequests.add(call.requestHash, now);
         return refused(RefusalReason::Overloaded);
     }
     if (!d->options.sharesEnabled || call.callClass == CallClass::Critical) {
@@ -163,6 +177,9 @@
     if (scale < CutsPerClass) {
         d->services[call.service].criticalCut = now;
     }
+    if (!answered && !call.internal) {
+        d->refusedRequests.add(call.requestHash, now);
+    }
     if (answered) {
         const double sample = std::chrono::duration<double>(elapsed).count();
         state.callTime += (state.callTime <= 0.0 ? 1.0 : CallTimeWeight) * (sample - state.callTime);
--- a/src/core/overload/edgegate.h
+++ b/src/core/overload/edgegate.h
@@ -28,6 +28,10 @@
 
     void configure(std::span<const TenantConfiguration> tenants);
 
+    // Lowers a caller's read to bulk if this node refused the same request recently. After an overload the resends of many refused requests
+    // would otherwise hold back fresh requests until all of them are served. Call it before `check()`, and forward the lowered class.
+    void classify(CallDescription &call) const;
+
     // Checks a caller's call at the node that it reached: deadline, level of the path, shares. Internal calls are checked for their
     // deadline only.
     std::optional<Refusal> check(const CallDescription &call);
--- a/src/core/overload/edgegateoptions.h
+++ b/src/core/overload/edgegateoptions.h
@@ -24,6 +24,11 @@
     // Time over which shares of tenants are counted.
     Duration shareMemory = std::chrono::seconds(1);
 
+    // Refused requests that are remembered, and for how long at least: the time in which most callers send again.
+    std::size_t refusedLimit = 20000;
+    Duration refusedMemory = std::chrono::seconds(10);
+
+    bool resendsEnabled = true;
     bool levelsEnabled = true;
     bool sharesEnabled = true;
     bool isolationEnabled = true;
--- a/src/core/overload/levelcontroller.cpp
+++ b/src/core/overload/levelcontroller.cpp
@@ -54,9 +54,10 @@
         m_rise = queued > BurstFactor * target ? m_options.firstRise : std::max(m_options.firstRise, m_rise / 2);
         m_riseHalved = now;
     }
-    if (ratio >= 1.0) {
-        open(ratio, passed / seconds(m_options.window), queued <= target / 2);
-    } else if (queued > target / 2) {
+    const double usable = m_scale >= 2 * CutsPerClass ? m_options.bulkUtilisation : 1.0;
+    if (ratio * usable >= 1.0) {
+        open(ratio * usable, passed / seconds(m_options.window), queued <= target / 2);
+    } else if (ratio < 1.0 && queued > target / 2) {
         const double damping = std::min(1.0, passed / seconds(m_options.feedbackDelay));
         tightenBy(std::pow(ratio, damping), queuedCritical > capacity * seconds(m_options.criticalDelay));
     }
--- a/src/core/overload/levelcontrolleroptions.h
+++ b/src/core/overload/levelcontrolleroptions.h
@@ -21,6 +21,8 @@
     double firstRise = 0.003;
     double riseGrowth = 1.25;
     double largestRise = 0.05;
+    // Share of the capacity up to which the level opens for bulk calls and resends: they are to add no queueing for others.
+    double bulkUtilisation = 0.8;
     // Above this ratio of the capacity to the admitted rate, the growth is at least the gain times the excess.
     double idleRatio = 1.3;
     double idleGain = 0.03;
--- a/src/lab/model/modelnode.cpp
+++ b/src/lab/model/modelnode.cpp
@@ -55,6 +55,7 @@
     call->budget = m_retry.budgetOf(call->call);
     m_retry.freshCall();
     if (m_model.options().deadlinesEnabled) {
+        m_gate.classify(call->call);
         if (const std::optional<Refusal> refusal = m_gate.check(call->call)) {
             refuse(call, *refusal);
             return;
