Average learnt levels over 200 ms and open faster when a server is idle

The levels of the instances of a service differ, and edges that heard from different ones admitted reads while others refused critical calls.

--- a/src/core/overload/edgegateoptions.h
+++ b/src/core/overload/edgegateoptions.h
@@ -10,7 +10,7 @@
 struct EdgeGateOptions
 {
     // Time over which levels of the instances of a service are averaged.
-    Duration levelMemory = std::chrono::milliseconds(50);
+    Duration levelMemory = std::chrono::milliseconds(200);
     // Without reports for this long, one call is let through to learn the level again.
     Duration levelHold = std::chrono::milliseconds(500);
     // A level that was not reported for this long is forgotten.
--- a/src/core/overload/levelcontrolleroptions.h
+++ b/src/core/overload/levelcontrolleroptions.h
@@ -25,7 +25,7 @@
     double bulkUtilisation = 0.8;
     // Above this ratio of the capacity to the admitted rate, the growth is at least the gain times the excess.
     double idleRatio = 1.3;
-    double idleGain = 0.03;
+    double idleGain = 0.06;
     // Time after an opening in which a growing queue is taken for its effect.
     Duration settleTime = std::chrono::milliseconds(1000);
     // The admitted rate aimed at never falls below this share of the capacity, however long the queue is: otherwise the server would run
