--- a/src/core/overload/edgegateoptions.h
+++ b/src/core/overload/edgegateoptions.h
@@ -10,7 +10,7 @@
 struct EdgeGateOptions
 {
     // Time over which levels of the instances of a service are averaged.
-    Duration levelMemory = std::chrono::milliseconds(50);
+    Duration levelMemory = std::chrono::milliseconds(200);
     // Without reports for this long, one call is let through to learn the level again.
     Duration levelHold = std::chrono::milliseconds(500);
     // A level that was not reported for this long is forgotten.
@@ -24,6 +24,11 @@
     // Time over which shares of tenants are counted.
     Duration shareMemory = std::chrono::seconds(1);
 
+    // Refused requests that are remembered, and for how long at least: the time in which most callers send again.
+    std::size_t refusedLimit = 20000;
+    Duration refusedMemory = std::chrono::seconds(10);
+
+    bool resendsEnabled = true;
     bool levelsEnabled = true;
     bool sharesEnabled = true;
     bool isolationEnabled = true;
