Add a background log, events of the daemon, and names of their own

The daemon writes lines on a thread of its own so that a blocked stream cannot delay calls; beyond 8192 waiting lines further ones are dropped. Two events of the daemon were missing from the catalogue. The types of the command-line tool had the names of types in src/net and src/lab, which a test that links both could mix up.

--- a/src/admin/adminserver.cpp
+++ b/src/admin/adminserver.cpp
@@ -249,7 +249,7 @@
     return std::unique_ptr<AdminServer>(new AdminServer(std::move(implementation)));
 }
 
-AdminServer::AdminServer(std::shared_ptr<Private> implementation) : d(std::move(implementation))
+AdminServer::AdminServer(std::shared_ptr<Private> implementation) : m_d(std::move(implementation))
 {
 }
 
@@ -260,17 +260,17 @@
 
 std::uint16_t AdminServer::port() const
 {
-    return d->port;
+    return m_d->port;
 }
 
 bool AdminServer::reloadKeys()
 {
-    return d->usesTls() && d->reportKeys(d->keys.load());
+    return m_d->usesTls() && m_d->reportKeys(m_d->keys.load());
 }
 
 void AdminServer::stop()
 {
-    d->stop();
+    m_d->stop();
 }
 
 std::string describeAdminStartError(AdminStartError error)
--- a/src/admin/adminserver.h
+++ b/src/admin/adminserver.h
@@ -48,7 +48,7 @@
 private:
     class Private;
     explicit AdminServer(std::shared_ptr<Private> implementation);
-    std::shared_ptr<Private> d;
+    std::shared_ptr<Private> m_d;
 };
 
 // Text for people, for example "no token is configured".
--- a/src/ctl/command.h
+++ b/src/ctl/command.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ctl/commandline.h"
+#include "ctl/ctlarguments.h"
 #include "ctl/exitcode.h"
 
 #include <iosfwd>
@@ -30,19 +30,19 @@
     std::vector<std::string> allowed;
     std::size_t leastOperands;
     std::size_t mostOperands;
-    ExitCode (*run)(const CommandLine &, CommandStreams);
+    ExitCode (*run)(const CtlArguments &, CommandStreams);
 };
 
 // All commands in the order of the help.
 const std::vector<Command> &commands();
 
 // The commands; each takes a parsed command line.
-ExitCode runQuestionnaireCheck(const CommandLine &line, CommandStreams streams);
-ExitCode runConfigGenerate(const CommandLine &line, CommandStreams streams);
-ExitCode runConfigDiff(const CommandLine &line, CommandStreams streams);
-ExitCode runConfigShow(const CommandLine &line, CommandStreams streams);
-ExitCode runNodeStatus(const CommandLine &line, CommandStreams streams);
-ExitCode runNodeDrain(const CommandLine &line, CommandStreams streams);
-ExitCode runOutcomes(const CommandLine &line, CommandStreams streams);
+ExitCode runQuestionnaireCheck(const CtlArguments &line, CommandStreams streams);
+ExitCode runConfigGenerate(const CtlArguments &line, CommandStreams streams);
+ExitCode runConfigDiff(const CtlArguments &line, CommandStreams streams);
+ExitCode runConfigShow(const CtlArguments &line, CommandStreams streams);
+ExitCode runNodeStatus(const CtlArguments &line, CommandStreams streams);
+ExitCode runNodeDrain(const CtlArguments &line, CommandStreams streams);
+ExitCode runOutcomes(const CtlArguments &line, CommandStreams streams);
 
 } // namespace wisteriafork
--- a/src/ctl/ctl.cpp
+++ b/src/ctl/ctl.cpp
@@ -137,7 +137,7 @@
     }
     const std::ptrdiff_t words = command->name.find(' ') == std::string_view::npos ? 1 : 2;
     arguments.erase(arguments.begin(), arguments.begin() + words);
-    const auto line = parseCommandLine(std::move(arguments), command->allowed);
+    const auto line = parseCtlArguments(std::move(arguments), command->allowed);
     if (!line) {
         err << "wisteriaforkctl " << command->name << ": " << line.error() << " (see --help)\n";
         return ExitCode::Usage;
--- a/src/ctl/commandline.cpp
+++ b/src/ctl/ctlarguments.cpp
@@ -1,4 +1,4 @@
-#include "ctl/commandline.h"
+#include "ctl/ctlarguments.h"
 
 #include <algorithm>
 #include <array>
@@ -40,7 +40,7 @@
     return number;
 }
 
-bool setFlag(CommandLine &line, int code)
+bool setFlag(CtlArguments &line, int code)
 {
     switch (code) {
     case 'h':
@@ -60,7 +60,7 @@
     }
 }
 
-std::string *textMember(CommandLine &line, int code)
+std::string *textMember(CtlArguments &line, int code)
 {
     switch (code) {
     case 'p':
@@ -85,7 +85,7 @@
 }
 
 // Takes one option over; gives a text for people if its value is not usable.
-std::string setOption(CommandLine &line, int code, const std::string &value)
+std::string setOption(CtlArguments &line, int code, const std::string &value)
 {
     if (setFlag(line, code)) {
         return {};
@@ -108,7 +108,7 @@
 
 } // namespace
 
-tl::expected<CommandLine, std::string> parseCommandLine(std::vector<std::string> arguments, const std::vector<std::string> &allowed)
+tl::expected<CtlArguments, std::string> parseCtlArguments(std::vector<std::string> arguments, const std::vector<std::string> &allowed)
 {
     std::string program = "wisteriaforkctl";
     std::vector<char *> raw{program.data()};
@@ -116,7 +116,7 @@
         raw.push_back(argument.data());
     }
     raw.push_back(nullptr);
-    CommandLine line;
+    CtlArguments line;
     // 0 makes glibc start over, so that several command lines can be parsed in one process.
     optind = 0;
     opterr = 0;
--- a/src/ctl/commandline.h
+++ b/src/ctl/ctlarguments.h
@@ -11,7 +11,7 @@
 namespace wisteriafork {
 
 // Options and operands of one command, after the words that name the command.
-struct CommandLine
+struct CtlArguments
 {
     bool help = false;
     bool json = false;
@@ -35,6 +35,6 @@
 
 // Parses options with getopt_long. `allowed` names the long options of the command; all others are an error. The error is a text for
 // people.
-tl::expected<CommandLine, std::string> parseCommandLine(std::vector<std::string> arguments, const std::vector<std::string> &allowed);
+tl::expected<CtlArguments, std::string> parseCtlArguments(std::vector<std::string> arguments, const std::vector<std::string> &allowed);
 
 } // namespace wisteriafork
--- a/src/ctl/filecommands.cpp
+++ b/src/ctl/filecommands.cpp
@@ -53,7 +53,7 @@
 }
 
 // Writes the results of a successful generation.
-ExitCode writeGenerated(const CommandLine &line, CommandStreams streams, const PublishedConfiguration &published, const Findings &findings)
+ExitCode writeGenerated(const CtlArguments &line, CommandStreams streams, const PublishedConfiguration &published, const Findings &findings)
 {
     if (!line.valuesDirectory.empty()) {
         const std::string problem = writeValues(line.valuesDirectory, published);
@@ -84,7 +84,7 @@
 
 } // namespace
 
-ExitCode runQuestionnaireCheck(const CommandLine &line, CommandStreams streams)
+ExitCode runQuestionnaireCheck(const CtlArguments &line, CommandStreams streams)
 {
     const std::string &file = line.operands[0];
     const auto text = readTextFile(file);
@@ -102,7 +102,7 @@
     return accepted ? ExitCode::Success : ExitCode::Negative;
 }
 
-ExitCode runConfigGenerate(const CommandLine &line, CommandStreams streams)
+ExitCode runConfigGenerate(const CtlArguments &line, CommandStreams streams)
 {
     if (line.json && line.outputFile.empty()) {
         return fail(streams, ExitCode::Usage, "--json needs --output, since the configuration itself goes to standard output");
@@ -139,7 +139,7 @@
     return writeGenerated(line, streams, publishConfiguration(*result.configuration, previous ? &*previous : nullptr), result.findings);
 }
 
-ExitCode runConfigDiff(const CommandLine &line, CommandStreams streams)
+ExitCode runConfigDiff(const CtlArguments &line, CommandStreams streams)
 {
     const auto before = readConfigurationFile(line.operands[0]);
     const auto after = readConfigurationFile(line.operands[1]);
--- a/src/ctl/httpclient.cpp
+++ b/src/ctl/nodeclient.cpp
@@ -1,4 +1,4 @@
-#include "ctl/httpclient.h"
+#include "ctl/nodeclient.h"
 
 // Asio 1.74 uses std::exchange without this header, which g++ 12 reports in C++20 mode.
 #include <utility>
@@ -60,11 +60,11 @@
 class Exchange
 {
 public:
-    Exchange(const HttpClientOptions &options, Address address) : m_options(options), m_address(std::move(address))
+    Exchange(const NodeClientOptions &options, Address address) : m_options(options), m_address(std::move(address))
     {
     }
 
-    tl::expected<HttpAnswer, std::string> run(const http::request<http::string_body> &request)
+    tl::expected<NodeAnswer, std::string> run(const http::request<http::string_body> &request)
     {
         return m_address.tls ? runTls(request) : runPlain(request);
     }
@@ -94,7 +94,7 @@
     }
 
     template <typename Stream>
-    tl::expected<HttpAnswer, std::string> exchange(Stream &stream, const http::request<http::string_body> &request)
+    tl::expected<NodeAnswer, std::string> exchange(Stream &stream, const http::request<http::string_body> &request)
     {
         error_code error = wait([&](auto handler) { http::async_write(stream, request, std::move(handler)); });
         if (error) {
@@ -107,10 +107,10 @@
         if (error) {
             return tl::unexpected("no whole answer from " + m_options.url + ": " + error.message());
         }
-        return HttpAnswer{.status = parser.get().result_int(), .body = std::move(parser.get().body())};
+        return NodeAnswer{.status = parser.get().result_int(), .body = std::move(parser.get().body())};
     }
 
-    tl::expected<HttpAnswer, std::string> runPlain(const http::request<http::string_body> &request)
+    tl::expected<NodeAnswer, std::string> runPlain(const http::request<http::string_body> &request)
     {
         beast::tcp_stream stream(m_context);
         std::string problem = connect(stream);
@@ -120,7 +120,7 @@
         return exchange(stream, request);
     }
 
-    tl::expected<HttpAnswer, std::string> runTls(const http::request<http::string_body> &request)
+    tl::expected<NodeAnswer, std::string> runTls(const http::request<http::string_body> &request)
     {
         asio::ssl::context keys(asio::ssl::context::tls_client);
         error_code error;
@@ -151,14 +151,14 @@
         return exchange(stream, request);
     }
 
-    const HttpClientOptions &m_options;
+    const NodeClientOptions &m_options;
     Address m_address;
     asio::io_context m_context;
 };
 
 } // namespace
 
-tl::expected<HttpAnswer, std::string> sendHttpRequest(const HttpClientOptions &options, const std::string &method,
+tl::expected<NodeAnswer, std::string> sendNodeRequest(const NodeClientOptions &options, const std::string &method,
                                                       const std::string &target, const std::string &body)
 {
     const std::optional<Address> address = parseUrl(options.url);
--- a/src/ctl/httpclient.h
+++ b/src/ctl/nodeclient.h
@@ -7,13 +7,13 @@
 
 namespace wisteriafork {
 
-struct HttpAnswer
+struct NodeAnswer
 {
     unsigned status = 0;
     std::string body;
 };
 
-struct HttpClientOptions
+struct NodeClientOptions
 {
     // "http://127.0.0.1:7300" or "https://10.0.0.7:7300", without path.
     std::string url;
@@ -26,7 +26,7 @@
 
 // Sends one request and waits for its answer. The server's certificate must be valid for the host or IP address of the URL. The error is a
 // text for people.
-tl::expected<HttpAnswer, std::string> sendHttpRequest(const HttpClientOptions &options, const std::string &method,
+tl::expected<NodeAnswer, std::string> sendNodeRequest(const NodeClientOptions &options, const std::string &method,
                                                       const std::string &target, const std::string &body = {});
 
 } // namespace wisteriafork
--- a/src/ctl/nodecommands.cpp
+++ b/src/ctl/nodecommands.cpp
@@ -57,7 +57,7 @@
         << " ms, isolation " << configuration.bounds.isolationBound.count() << " ms\n";
 }
 
-tl::expected<ConfigurationFile, CommandFailure> loadConfiguration(const CommandLine &line)
+tl::expected<ConfigurationFile, CommandFailure> loadConfiguration(const CtlArguments &line)
 {
     if (!line.operands.empty()) {
         return readConfigurationFile(line.operands[0]);
@@ -93,7 +93,7 @@
 
 // Prints an answer as JSON or for people. An answer of another form than expected is reported instead of ending the program.
 template <typename Print>
-ExitCode show(const CommandLine &line, CommandStreams streams, const json &answer, Print print)
+ExitCode show(const CtlArguments &line, CommandStreams streams, const json &answer, Print print)
 {
     if (line.json) {
         streams.out << answer.dump(2) << "\n";
@@ -113,7 +113,7 @@
 }
 
 // Asks for the status until the node is drained or the time is up.
-tl::expected<json, CommandFailure> waitForDrain(const CommandLine &line, std::chrono::seconds wait)
+tl::expected<json, CommandFailure> waitForDrain(const CtlArguments &line, std::chrono::seconds wait)
 {
     const auto end = std::chrono::steady_clock::now() + wait;
     while (true) {
@@ -142,7 +142,7 @@
 
 } // namespace
 
-ExitCode runConfigShow(const CommandLine &line, CommandStreams streams)
+ExitCode runConfigShow(const CtlArguments &line, CommandStreams streams)
 {
     const auto file = loadConfiguration(line);
     if (!file) {
@@ -170,13 +170,13 @@
     return ExitCode::Success;
 }
 
-ExitCode runNodeStatus(const CommandLine &line, CommandStreams streams)
+ExitCode runNodeStatus(const CtlArguments &line, CommandStreams streams)
 {
     const auto status = askNode(line, "GET", "/v1/status");
     return status ? show(line, streams, *status, printStatus) : fail(streams, status.error());
 }
 
-ExitCode runNodeDrain(const CommandLine &line, CommandStreams streams)
+ExitCode runNodeDrain(const CtlArguments &line, CommandStreams streams)
 {
     if (line.undo && line.wait) {
         streams.err << "wisteriaforkctl: --undo and --wait exclude each other\n";
@@ -196,7 +196,7 @@
     return shown;
 }
 
-ExitCode runOutcomes(const CommandLine &line, CommandStreams streams)
+ExitCode runOutcomes(const CtlArguments &line, CommandStreams streams)
 {
     const std::string query = line.tenant.empty() ? "" : "?tenant=" + percentEncoded(line.tenant);
     const auto outcomes = askNode(line, "GET", "/v1/outcomes" + query);
--- a/src/ctl/noderequest.cpp
+++ b/src/ctl/noderequest.cpp
@@ -1,6 +1,6 @@
 #include "ctl/noderequest.h"
 
-#include "ctl/httpclient.h"
+#include "ctl/nodeclient.h"
 #include "ctl/textfile.h"
 
 #include <cstdlib>
@@ -19,7 +19,7 @@
 }
 
 // Code and message of an error body, or the body itself.
-std::string errorText(const HttpAnswer &answer)
+std::string errorText(const NodeAnswer &answer)
 {
     const auto body = nlohmann::json::parse(answer.body, nullptr, false);
     if (body.is_object() && body.contains("error") && body["error"].is_object() && body["error"].contains("message")
@@ -29,9 +29,9 @@
     return answer.body.substr(0, 200);
 }
 
-tl::expected<HttpClientOptions, CommandFailure> clientOptions(const CommandLine &line)
+tl::expected<NodeClientOptions, CommandFailure> clientOptions(const CtlArguments &line)
 {
-    HttpClientOptions options;
+    NodeClientOptions options;
     options.url = !line.node.empty() ? line.node : environmentValue("WISTERIAFORK_NODE");
     if (options.url.empty()) {
         options.url = DefaultNode;
@@ -54,13 +54,13 @@
 
 } // namespace
 
-tl::expected<nlohmann::json, CommandFailure> askNode(const CommandLine &line, const std::string &method, const std::string &target)
+tl::expected<nlohmann::json, CommandFailure> askNode(const CtlArguments &line, const std::string &method, const std::string &target)
 {
     const auto options = clientOptions(line);
     if (!options) {
         return tl::unexpected(options.error());
     }
-    const auto answer = sendHttpRequest(*options, method, target);
+    const auto answer = sendNodeRequest(*options, method, target);
     if (!answer) {
         return tl::unexpected(CommandFailure{.code = ExitCode::NodeUnreachable, .message = answer.error()});
     }
--- a/src/ctl/noderequest.h
+++ b/src/ctl/noderequest.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "ctl/commandline.h"
 #include "ctl/configurationfile.h"
+#include "ctl/ctlarguments.h"
 
 #include <string>
 
@@ -12,6 +12,6 @@
 
 // Asks the administration API that the command line names, with the token from its file or from $WISTERIAFORK_TOKEN. Gives the JSON of a
 // successful answer.
-tl::expected<nlohmann::json, CommandFailure> askNode(const CommandLine &line, const std::string &method, const std::string &target);
+tl::expected<nlohmann::json, CommandFailure> askNode(const CtlArguments &line, const std::string &method, const std::string &target);
 
 } // namespace wisteriafork
--- a/src/observability/eventcatalogue.cpp
+++ b/src/observability/eventcatalogue.cpp
@@ -21,6 +21,7 @@
 constexpr Names<3> Listener{"listener", "address", "error"};
 constexpr Names<1> Pause{"milliseconds"};
 constexpr Names<2> IncarnationChange{"old", "new"};
+constexpr Names<2> BrokenOff{"callsInFlight", "seconds"};
 constexpr Names<4> Decision{"request", "service", "node", "reason"};
 constexpr Names<2> ConfigurationVersion{"version", "source"};
 constexpr Names<3> HeldBack{"version", "inForce", "findings"};
@@ -34,6 +35,7 @@
 constexpr Names<3> OverloadStart{"service", "limit", "refusedShare"};
 constexpr Names<3> OverloadEnd{"service", "durationSeconds", "recoverySeconds"};
 constexpr Names<3> Distrust{"service", "reported", "observed"};
+constexpr Names<2> LoadEndpoint{"address", "error"};
 constexpr Names<2> Term{"term", "witnesses"};
 constexpr Names<2> Incarnation{"node", "incarnation"};
 constexpr Names<3> Fence{"node", "incarnation", "claims"};
@@ -63,6 +65,7 @@
     EventDescription{Number::ListenerFailed, "listener-failed", Severity::Error, Listener},
     EventDescription{Number::PauseNoticed, "pause-noticed", Severity::Warning, Pause},
     EventDescription{Number::IncarnationChanged, "incarnation-changed", Severity::Warning, IncarnationChange},
+    EventDescription{Number::DrainBoundReached, "drain-bound-reached", Severity::Error, BrokenOff},
     EventDescription{Number::CallAdmitted, "call-admitted", Severity::Info, Decision},
     EventDescription{Number::CallQueued, "call-queued", Severity::Info, Decision},
     EventDescription{Number::CallRefused, "call-refused", Severity::Info, Decision},
@@ -89,6 +92,7 @@
     EventDescription{Number::OverloadStarted, "overload-started", Severity::Warning, OverloadStart},
     EventDescription{Number::OverloadEnded, "overload-ended", Severity::Info, OverloadEnd},
     EventDescription{Number::LoadEndpointDistrusted, "load-endpoint-distrusted", Severity::Warning, Distrust},
+    EventDescription{Number::LoadEndpointUnreadable, "load-endpoint-unreadable", Severity::Warning, LoadEndpoint},
     EventDescription{Number::OwnerJoined, "owner-joined", Severity::Info, Term},
     EventDescription{Number::OwnerFenced, "owner-fenced", Severity::Warning, Incarnation},
     EventDescription{Number::FenceCompleted, "fence-completed", Severity::Info, Fence},
--- a/src/observability/eventlog.cpp
+++ b/src/observability/eventlog.cpp
@@ -9,6 +9,9 @@
 #include <boost/log/attributes/constant.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/drop_on_overflow.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
@@ -22,7 +25,13 @@
 namespace {
 
 namespace logging = boost::log;
-using Sink = logging::sinks::synchronous_sink<logging::sinks::text_ostream_backend>;
+// Lines that may wait for the background thread.
+constexpr std::size_t MaximumWaitingLines = 8192;
+
+using Backend = logging::sinks::text_ostream_backend;
+using Sink = logging::sinks::synchronous_sink<Backend>;
+using BackgroundSink
+    = logging::sinks::asynchronous_sink<Backend, logging::sinks::bounded_fifo_queue<MaximumWaitingLines, logging::sinks::drop_on_overflow>>;
 
 // Attribute that ties a record to the log that wrote it, because the core of Boost.Log passes each record to all sinks of the process.
 constexpr const char *OwnerAttribute = "WisteriaforkLog";
@@ -66,26 +75,41 @@
     {
         const std::uint64_t id = nextLogId();
         logger.add_attribute(OwnerAttribute, logging::attributes::constant<std::uint64_t>(id));
-        auto backend = boost::make_shared<logging::sinks::text_ostream_backend>();
+        auto backend = boost::make_shared<Backend>();
         backend->add_stream(boost::shared_ptr<std::ostream>(&stream, boost::null_deleter()));
         backend->auto_flush(true);
-        sink = boost::make_shared<Sink>(backend);
-        sink->set_filter(logging::expressions::attr<std::uint64_t>(OwnerAttribute) == id);
+        if (options.background) {
+            backgroundSink = boost::make_shared<BackgroundSink>(backend);
+            sink = backgroundSink;
+            backgroundSink->set_filter(logging::expressions::attr<std::uint64_t>(OwnerAttribute) == id);
+        } else {
+            const auto direct = boost::make_shared<Sink>(backend);
+            direct->set_filter(logging::expressions::attr<std::uint64_t>(OwnerAttribute) == id);
+            sink = direct;
+        }
         logging::core::get()->add_sink(sink);
     }
 
     ~Private()
     {
         logging::core::get()->remove_sink(sink);
+        if (backgroundSink) {
+            backgroundSink->stop();
+        }
         sink->flush();
     }
 
+    Private(const Private &) = delete;
+    Private &operator=(const Private &) = delete;
+
     LogOptions options;
     logging::sources::logger_mt logger;
-    boost::shared_ptr<Sink> sink;
+    boost::shared_ptr<logging::sinks::sink> sink;
+    // Null if lines are written directly.
+    boost::shared_ptr<BackgroundSink> backgroundSink;
 };
 
-EventLog::EventLog(LogOptions options, std::ostream &stream) : d(std::make_unique<Private>(options, stream))
+EventLog::EventLog(LogOptions options, std::ostream &stream) : m_d(std::make_unique<Private>(options, stream))
 {
 }
 
@@ -94,16 +118,16 @@
 void EventLog::write(EventNumber number, const std::vector<std::string> &values)
 {
     const EventDescription &event = describeEvent(number);
-    if (event.severity < d->options.least) {
+    if (event.severity < m_d->options.least) {
         return;
     }
-    const std::string line = formatEvent(event, values, d->options.format, std::chrono::system_clock::now());
-    BOOST_LOG(d->logger) << line;
+    const std::string line = formatEvent(event, values, m_d->options.format, std::chrono::system_clock::now());
+    BOOST_LOG(m_d->logger) << line;
 }
 
 void EventLog::write(const Decision &decision)
 {
-    if (d->options.decisions) {
+    if (m_d->options.decisions) {
         write(decisionEvent(decision.kind), {decision.requestId, decision.service.value(), decision.node.value(), decision.reason});
     }
 }
--- a/src/observability/eventlog.h
+++ b/src/observability/eventlog.h
@@ -26,10 +26,13 @@
     LogSeverity least = LogSeverity::Info;
     // False leaves out the line for each decision on a call.
     bool decisions = true;
+    // True writes lines on a thread of their own. When 8192 lines wait, further lines are dropped rather than delaying calls.
+    bool background = false;
 };
 
 // Writes numbered events as lines to a stream through Boost.Log. Values are passed in the order of the fields in the catalogue, so that
-// names exist in one place only. Thread safe; callers hold no lock of the lock order while they write.
+// names exist in one place only. The destructor writes what still waits. Thread safe; callers hold no lock of the lock order while they
+// write.
 class EventLog
 {
 public:
@@ -46,7 +49,7 @@
 
 private:
     class Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_d;
 };
 
 // Event of a kind of decision.
--- a/src/observability/eventnumber.h
+++ b/src/observability/eventnumber.h
@@ -16,6 +16,7 @@
     ListenerFailed = 106,
     PauseNoticed = 107,
     IncarnationChanged = 108,
+    DrainBoundReached = 109,
     // Decisions on calls
     CallAdmitted = 200,
     CallQueued = 201,
@@ -46,6 +47,7 @@
     OverloadStarted = 500,
     OverloadEnded = 501,
     LoadEndpointDistrusted = 502,
+    LoadEndpointUnreadable = 503,
     // At most once
     OwnerJoined = 600,
     OwnerFenced = 601,
--- a/src/observability/metrics.cpp
+++ b/src/observability/metrics.cpp
@@ -145,7 +145,7 @@
     std::vector<SeriesMap> series;
 };
 
-Metrics::Metrics() : d(std::make_unique<Private>())
+Metrics::Metrics() : m_d(std::make_unique<Private>())
 {
 }
 
@@ -153,24 +153,24 @@
 
 void Metrics::add(Metric metric, LabelValues labels, double amount)
 {
-    const std::lock_guard lock(d->mutex);
-    if (Series *series = d->find(metric, labels)) {
+    const std::lock_guard lock(m_d->mutex);
+    if (Series *series = m_d->find(metric, labels)) {
         series->value += amount;
     }
 }
 
 void Metrics::set(Metric metric, double value, LabelValues labels)
 {
-    const std::lock_guard lock(d->mutex);
-    if (Series *series = d->find(metric, labels)) {
+    const std::lock_guard lock(m_d->mutex);
+    if (Series *series = m_d->find(metric, labels)) {
         series->value = value;
     }
 }
 
 void Metrics::observe(Metric metric, std::chrono::nanoseconds time, LabelValues labels)
 {
-    const std::lock_guard lock(d->mutex);
-    if (Series *series = d->find(metric, labels)) {
+    const std::lock_guard lock(m_d->mutex);
+    if (Series *series = m_d->find(metric, labels)) {
         if (!series->histogram) {
             series->histogram = std::make_unique<TimeHistogram>(histograms::make_histogram(timeAxis()));
         }
@@ -182,13 +182,13 @@
 
 std::string Metrics::expose() const
 {
-    const std::lock_guard lock(d->mutex);
+    const std::lock_guard lock(m_d->mutex);
     std::string text;
     for (const MetricDescription &description : metricCatalogue()) {
         const std::string name(description.name);
         text += "# HELP " + name + " " + std::string(description.help) + "\n";
         text += "# TYPE " + name + " " + std::string(typeName(description.type)) + "\n";
-        for (const auto &[labels, series] : d->series[static_cast<std::size_t>(description.metric)]) {
+        for (const auto &[labels, series] : m_d->series[static_cast<std::size_t>(description.metric)]) {
             if (series.histogram) {
                 exposeHistogram(text, description, labels, series);
             } else if (description.type != MetricType::Histogram) {
--- a/src/observability/outcomes.cpp
+++ b/src/observability/outcomes.cpp
@@ -64,7 +64,7 @@
     std::map<ServiceId, OverloadTracker> overloads;
 };
 
-Outcomes::Outcomes(const Clock &clock) : d(std::make_unique<Private>(clock))
+Outcomes::Outcomes(const Clock &clock) : m_d(std::make_unique<Private>(clock))
 {
 }
 
@@ -72,54 +72,54 @@
 
 void Outcomes::completed(const OutcomeKey &key, Duration time, bool replayed)
 {
-    const std::lock_guard lock(d->mutex);
-    const std::int64_t second = d->second();
-    Counters &counters = d->counters(key);
+    const std::lock_guard lock(m_d->mutex);
+    const std::int64_t second = m_d->second();
+    Counters &counters = m_d->counters(key);
     ++counters.completed;
     counters.replayed += replayed ? 1 : 0;
     counters.totalTime += time;
     counters.goodput.add(second);
     counters.offered.add(second);
-    d->overloads[key.service].completed(second, time);
+    m_d->overloads[key.service].completed(second, time);
 }
 
 void Outcomes::refused(const OutcomeKey &key, const Refusal &refusal)
 {
-    const std::lock_guard lock(d->mutex);
-    const std::int64_t second = d->second();
-    Counters &counters = d->counters(key);
+    const std::lock_guard lock(m_d->mutex);
+    const std::int64_t second = m_d->second();
+    Counters &counters = m_d->counters(key);
     ++counters.refusals[{refusal.kind, refusal.reason}];
     counters.offered.add(second);
     if (isForLoad(refusal)) {
-        d->overloads[key.service].refusedForLoad(second);
+        m_d->overloads[key.service].refusedForLoad(second);
     } else {
-        d->overloads[key.service].endedOtherwise(second);
+        m_d->overloads[key.service].endedOtherwise(second);
     }
 }
 
 void Outcomes::failed(const OutcomeKey &key)
 {
-    const std::lock_guard lock(d->mutex);
-    const std::int64_t second = d->second();
-    Counters &counters = d->counters(key);
+    const std::lock_guard lock(m_d->mutex);
+    const std::int64_t second = m_d->second();
+    Counters &counters = m_d->counters(key);
     ++counters.failed;
     counters.offered.add(second);
-    d->overloads[key.service].endedOtherwise(second);
+    m_d->overloads[key.service].endedOtherwise(second);
 }
 
 void Outcomes::duplicateSuppressed(const OutcomeKey &key)
 {
-    const std::lock_guard lock(d->mutex);
-    ++d->counters(key).duplicatesSuppressed;
+    const std::lock_guard lock(m_d->mutex);
+    ++m_d->counters(key).duplicatesSuppressed;
 }
 
 OutcomesReport Outcomes::report() const
 {
-    const std::lock_guard lock(d->mutex);
-    const std::int64_t second = d->second();
+    const std::lock_guard lock(m_d->mutex);
+    const std::int64_t second = m_d->second();
     OutcomesReport report;
-    report.covered = d->clock.now() - d->begin;
-    for (const auto &[key, counters] : d->rows) {
+    report.covered = m_d->clock.now() - m_d->begin;
+    for (const auto &[key, counters] : m_d->rows) {
         report.rows.push_back({.key = key,
                                .completed = counters.completed,
                                .replayed = counters.replayed,
@@ -132,7 +132,7 @@
                                    ? Duration(0)
                                    : Duration(counters.totalTime.count() / static_cast<std::int64_t>(counters.completed))});
     }
-    for (const auto &[service, tracker] : d->overloads) {
+    for (const auto &[service, tracker] : m_d->overloads) {
         if (const auto record = tracker.record(second)) {
             report.lastOverloads.emplace(service, *record);
         }
--- a/src/observability/recentload.cpp
+++ b/src/observability/recentload.cpp
@@ -51,7 +51,7 @@
     std::map<std::pair<ServiceId, OperationId>, Entry> entries;
 };
 
-RecentLoad::RecentLoad(const Clock &clock) : d(std::make_unique<Private>(clock))
+RecentLoad::RecentLoad(const Clock &clock) : m_d(std::make_unique<Private>(clock))
 {
 }
 
@@ -59,16 +59,16 @@
 
 void RecentLoad::arrived(const ServiceId &service, const OperationId &operation)
 {
-    const std::lock_guard lock(d->mutex);
-    if (Entry *entry = d->find(service, operation)) {
-        entry->arrivals.add(d->second());
+    const std::lock_guard lock(m_d->mutex);
+    if (Entry *entry = m_d->find(service, operation)) {
+        entry->arrivals.add(m_d->second());
     }
 }
 
 void RecentLoad::served(const ServiceId &service, const OperationId &operation, Duration serviceTime)
 {
-    const std::lock_guard lock(d->mutex);
-    if (Entry *entry = d->find(service, operation)) {
+    const std::lock_guard lock(m_d->mutex);
+    if (Entry *entry = m_d->find(service, operation)) {
         const auto time = static_cast<double>(serviceTime.count());
         entry->serviceTime = entry->serviceTime == 0 ? time : entry->serviceTime + TimeWeight * (time - entry->serviceTime);
     }
@@ -76,12 +76,12 @@
 
 std::vector<OperationLoad> RecentLoad::load() const
 {
-    const std::lock_guard lock(d->mutex);
+    const std::lock_guard lock(m_d->mutex);
     std::vector<OperationLoad> loads;
-    for (const auto &[key, entry] : d->entries) {
+    for (const auto &[key, entry] : m_d->entries) {
         loads.push_back({.service = key.first,
                          .operation = key.second,
-                         .callsPerSecond = entry.arrivals.perSecond(d->second(), 0),
+                         .callsPerSecond = entry.arrivals.perSecond(m_d->second(), 0),
                          .meanServiceTime = Duration(static_cast<Duration::rep>(entry.serviceTime))});
     }
     return loads;
--- a/tests/admin/adminserver_test.cpp
+++ b/tests/admin/adminserver_test.cpp
@@ -1,6 +1,6 @@
 #include "admin/runningserver.h"
 #include "admin/testkeys.h"
-#include "ctl/httpclient.h"
+#include "ctl/nodeclient.h"
 
 #include <array>
 #include <filesystem>
@@ -200,7 +200,7 @@
         CHECK(server.server != nullptr);
         const std::string url = "https://127.0.0.1:" + std::to_string(server.server->port());
         const auto ask = [&](const std::string &caFile) {
-            return sendHttpRequest({.url = url, .token = "reader-secret-0001", .caFile = caFile, .timeout = 5s}, "GET", "/v1/status");
+            return sendNodeRequest({.url = url, .token = "reader-secret-0001", .caFile = caFile, .timeout = 5s}, "GET", "/v1/status");
         };
         CHECK(ask(oldCertificate).has_value());
         LONGS_EQUAL(200, ask(oldCertificate)->status);
@@ -213,7 +213,7 @@
         CHECK(writeTestKeys(folder / "other.pem", options.tls.keyFile));
         CHECK_FALSE(server.server->reloadKeys());
         CHECK(ask(options.tls.certificateFile).has_value());
-        CHECK_FALSE(sendHttpRequest({.url = "http" + url.substr(5), .token = {}, .caFile = {}, .timeout = 5s}, "GET", "/").has_value());
+        CHECK_FALSE(sendNodeRequest({.url = "http" + url.substr(5), .token = {}, .caFile = {}, .timeout = 5s}, "GET", "/").has_value());
     }
     std::filesystem::remove_all(folder);
 }
--- a/tests/observability/eventlog_test.cpp
+++ b/tests/observability/eventlog_test.cpp
@@ -53,6 +53,22 @@
     return text;
 }
 
+void writeFromFourThreads(int lines, bool background, std::ostream &output)
+{
+    EventLog log({.background = background}, output);
+    std::array<std::thread, 4> workers;
+    for (std::thread &worker : workers) {
+        worker = std::thread([&log, lines] {
+            for (int count = 0; count < lines; ++count) {
+                log.write(EventNumber::PauseNoticed, {"1"});
+            }
+        });
+    }
+    for (std::thread &worker : workers) {
+        worker.join();
+    }
+}
+
 } // namespace
 
 TEST_GROUP(EventLog)
@@ -141,26 +157,16 @@
     LONGS_EQUAL(other.size() - 1, other.find('\n'));
 }
 
-// Guards against lines of several workers that run into each other.
+// Guards against lines of several workers that run into each other, and against lines that are lost at the end.
 TEST(EventLog, keepsLinesOfSeveralThreadsWhole)
 {
     constexpr int Lines = 200;
-    {
-        EventLog log({}, m_output);
-        std::array<std::thread, 4> workers;
-        for (std::thread &worker : workers) {
-            worker = std::thread([&log] {
-                for (int count = 0; count < Lines; ++count) {
-                    log.write(EventNumber::PauseNoticed, {"1"});
-                }
-            });
+    for (const bool background : {false, true}) {
+        m_output.str("");
+        writeFromFourThreads(Lines, background, m_output);
+        LONGS_EQUAL(4 * Lines, lines().size());
+        for (const std::string &line : lines()) {
+            CHECK(nlohmann::json::accept(line));
         }
-        for (std::thread &worker : workers) {
-            worker.join();
-        }
-    }
-    LONGS_EQUAL(4 * Lines, lines().size());
-    for (const std::string &line : lines()) {
-        CHECK(nlohmann::json::accept(line));
     }
 }
