--- a/src/admin/accesstoken.h
+++ b/src/admin/accesstoken.h
@@ -2,6 +2,7 @@
 
 #include "core/base/ids.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -15,6 +16,9 @@
     Operator,
 };
 
+// Shorter secrets could be guessed.
+inline constexpr std::size_t LeastSecretLength = 16;
+
 // One bearer token from the settings.
 struct AccessToken
 {
--- a/src/admin/adminserver.cpp
+++ b/src/admin/adminserver.cpp
@@ -20,8 +20,6 @@
 
 namespace {
 
-// Shorter secrets could be guessed.
-constexpr std::size_t LeastSecretLength = 16;
 // Pause after a failed accept, for example when the process has no file descriptors left.
 constexpr std::chrono::milliseconds AcceptRetryDelay{100};
 
--- a/src/core/config/configurationdiff.cpp
+++ b/src/core/config/configurationdiff.cpp
@@ -59,7 +59,9 @@
         }
     }
     for (const std::string &name : names) {
-        const std::string inner = place.empty() ? name : place + "/" + name;
+        std::string inner = place;
+        inner += place.empty() ? "" : "/";
+        inner += name;
         if (!before.contains(name)) {
             changes.push_back({.kind = ChangeKind::Added, .place = inner, .before = "", .after = after[name].dump()});
         } else if (!after.contains(name)) {
--- a/src/core/config/questionnairereader.cpp
+++ b/src/core/config/questionnairereader.cpp
@@ -40,6 +40,7 @@
                  Value fallback)
 {
     std::vector<std::string_view> names;
+    names.reserve(count);
     for (const auto &choice : choices) {
         names.push_back(choice.first);
     }
--- a/tests/admin/adminserver_test.cpp
+++ b/tests/admin/adminserver_test.cpp
@@ -1,3 +1,4 @@
+#include "admin/adminsettings.h"
 #include "admin/runningserver.h"
 #include "admin/testkeys.h"
 #include "ctl/nodeclient.h"
@@ -185,6 +186,29 @@
           == AdminStartError::KeysInvalid);
 }
 
+// Guards against a settings section that is read otherwise than documented or whose mistakes are found one by one.
+TEST(AdminServer, readsItsSettings)
+{
+    const auto read = [](const std::string &text, Findings &findings) {
+        const auto document = parseLocatedJson(text, 10'000);
+        CHECK(document.has_value());
+        return readAdminOptions(*document, document->value, "", "/etc/wf", findings);
+    };
+    Findings findings;
+    const AdminOptions options = read(R"({"address": "::1", "tls": {"certificate": "a.pem", "key": "/b.pem"},
+        "tokens": [{"name": "x", "secret": "0123456789abcdef", "right": "operator", "tenants": ["growers"]}]})",
+                                      findings);
+    CHECK(findings.empty());
+    STRCMP_EQUAL("/etc/wf/a.pem", options.tls.certificateFile.c_str());
+    STRCMP_EQUAL("/b.pem", options.tls.keyFile.c_str());
+    LONGS_EQUAL(7300, options.port);
+    CHECK_FALSE(options.allowRemote);
+    CHECK(options.tokens[0].right == AccessRight::Operator && options.tokens[0].tenants[0].value() == "growers");
+
+    read(R"({"port": 0, "tokens": [{"name": "x", "secret": "short", "right": "admin", "tenants": []}], "open": true})", findings);
+    LONGS_EQUAL(5, findings.size());
+}
+
 // Guards against keys that need a restart, and against broken keys that replace working ones.
 TEST(AdminServer, reloadsTlsKeys)
 {
@@ -192,6 +216,7 @@
     std::filesystem::create_directories(folder);
     AdminOptions options = testOptions();
     options.tls = {.certificateFile = folder / "certificate.pem", .keyFile = folder / "key.pem"};
+    options.keyCheckInterval = 50ms;
     const std::string oldCertificate = folder / "old.pem";
     CHECK(writeTestKeys(options.tls.certificateFile, options.tls.keyFile));
     std::filesystem::copy_file(options.tls.certificateFile, oldCertificate);
@@ -206,9 +231,13 @@
         LONGS_EQUAL(200, ask(oldCertificate)->status);
 
         CHECK(writeTestKeys(options.tls.certificateFile, options.tls.keyFile));
-        CHECK(server.server->reloadKeys());
+        // Found by the periodic check; bounded at 10 s.
+        for (int tries = 0; tries < 100 && ask(oldCertificate).has_value(); ++tries) {
+            std::this_thread::sleep_for(100ms);
+        }
         CHECK_FALSE(ask(oldCertificate).has_value());
         CHECK(ask(options.tls.certificateFile).has_value());
+        CHECK(server.server->reloadKeys());
 
         CHECK(writeTestKeys(folder / "other.pem", options.tls.keyFile));
         CHECK_FALSE(server.server->reloadKeys());
--- a/tests/observability/eventlog_test.cpp
+++ b/tests/observability/eventlog_test.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <map>
 #include <sstream>
 #include <thread>
@@ -107,6 +108,19 @@
     }
 }
 
+// Guards against an alarm that leaves the operator without advice.
+TEST(EventLog, explainsEachAlarmToOperators)
+{
+    std::ifstream file(std::filesystem::path(__FILE__).parent_path() / "../../docs/operations.md");
+    const std::string page{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    for (const EventDescription &event : eventCatalogue()) {
+        if (event.severity >= LogSeverity::Warning) {
+            const std::string row = "| " + std::to_string(static_cast<unsigned>(event.number)) + " " + std::string(event.name) + " |";
+            CHECK_TEXT(page.find(row) != std::string::npos, ("not in docs/operations.md: " + row).c_str());
+        }
+    }
+}
+
 // Guards against a decision that cannot be found in the log, and against text of a caller breaking the line.
 TEST(EventLog, writesOneJsonLinePerDecision)
 {
