--- a/src/admin/adminserver.cpp
+++ b/src/admin/adminserver.cpp
@@ -20,8 +20,6 @@
 
 namespace {
 
-// Shorter secrets could be guessed.
-constexpr std::size_t LeastSecretLength = 16;
 // Pause after a failed accept, for example when the process has no file descriptors left.
 constexpr std::chrono::milliseconds AcceptRetryDelay{100};
 
@@ -249,7 +247,7 @@
     return std::unique_ptr<AdminServer>(new AdminServer(std::move(implementation)));
 }
 
-AdminServer::AdminServer(std::shared_ptr<Private> implementation) : d(std::move(implementation))
+AdminServer::AdminServer(std::shared_ptr<Private> implementation) : m_d(std::move(implementation))
 {
 }
 
@@ -260,17 +258,17 @@
 
 std::uint16_t AdminServer::port() const
 {
-    return d->port;
+    return m_d->port;
 }
 
 bool AdminServer::reloadKeys()
 {
-    return d->usesTls() && d->reportKeys(d->keys.load());
+    return m_d->usesTls() && m_d->reportKeys(m_d->keys.load());
 }
 
 void AdminServer::stop()
 {
-    d->stop();
+    m_d->stop();
 }
 
 std::string describeAdminStartError(AdminStartError error)
--- a/tests/observability/eventlog_test.cpp
+++ b/tests/observability/eventlog_test.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <map>
 #include <sstream>
 #include <thread>
@@ -53,6 +54,22 @@
     return text;
 }
 
+void writeFromFourThreads(int lines, bool background, std::ostream &output)
+{
+    EventLog log({.background = background}, output);
+    std::array<std::thread, 4> workers;
+    for (std::thread &worker : workers) {
+        worker = std::thread([&log, lines] {
+            for (int count = 0; count < lines; ++count) {
+                log.write(EventNumber::PauseNoticed, {"1"});
+            }
+        });
+    }
+    for (std::thread &worker : workers) {
+        worker.join();
+    }
+}
+
 } // namespace
 
 TEST_GROUP(EventLog)
@@ -91,6 +108,19 @@
     }
 }
 
+// Guards against an alarm that leaves the operator without advice.
+TEST(EventLog, explainsEachAlarmToOperators)
+{
+    std::ifstream file(std::filesystem::path(__FILE__).parent_path() / "../../docs/operations.md");
+    const std::string page{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    for (const EventDescription &event : eventCatalogue()) {
+        if (event.severity >= LogSeverity::Warning) {
+            const std::string row = "| " + std::to_string(static_cast<unsigned>(event.number)) + " " + std::string(event.name) + " |";
+            CHECK_TEXT(page.find(row) != std::string::npos, ("not in docs/operations.md: " + row).c_str());
+        }
+    }
+}
+
 // Guards against a decision that cannot be found in the log, and against text of a caller breaking the line.
 TEST(EventLog, writesOneJsonLinePerDecision)
 {
@@ -141,26 +171,16 @@
     LONGS_EQUAL(other.size() - 1, other.find('\n'));
 }
 
-// Guards against lines of several workers that run into each other.
+// Guards against lines of several workers that run into each other, and against lines that are lost at the end.
 TEST(EventLog, keepsLinesOfSeveralThreadsWhole)
 {
     constexpr int Lines = 200;
-    {
-        EventLog log({}, m_output);
-        std::array<std::thread, 4> workers;
-        for (std::thread &worker : workers) {
-            worker = std::thread([&log] {
-                for (int count = 0; count < Lines; ++count) {
-                    log.write(EventNumber::PauseNoticed, {"1"});
-                }
-            });
-        }
-        for (std::thread &worker : workers) {
-            worker.join();
+    for (const bool background : {false, true}) {
+        m_output.str("");
+        writeFromFourThreads(Lines, background, m_output);
+        LONGS_EQUAL(4 * Lines, lines().size());
+        for (const std::string &line : lines()) {
+            CHECK(nlohmann::json::accept(line));
         }
     }
-    LONGS_EQUAL(4 * Lines, lines().size());
-    for (const std::string &line : lines()) {
-        CHECK(nlohmann::json::accept(line));
-    }
 }
