Implement the crash guard and measure ownership

The crash guard finds crashes by connections that break together, keeps suspects with crash ids so that a crash that is reported twice counts once, and repeats reports because a message may be lost.

--- /dev/null
+++ b/src/core/crashguard/crashguard.cpp
@@ -0,0 +1,108 @@
+#include "core/crashguard/crashguard.h"
+
+#include "core/base/hashing.h"
+
+#include <algorithm>
+#include <set>
+
+namespace wisteriafork {
+
+CrashGuard::CrashGuard(CrashGuardOptions options, const Clock &clock)
+    : m_options(std::move(options)), m_clock(clock), m_detector(m_options), m_suspects(m_options)
+{
+}
+
+CrashVerdict CrashGuard::start(CallId call, const RequestKey &fingerprint)
+{
+    if (m_suspects.banned(fingerprint)) {
+        return CrashVerdict::Refuse;
+    }
+    const bool suspected = m_suspects.suspected(fingerprint);
+    if (suspected && m_options.suspectsRunAlone && suspectInFlight()) {
+        return CrashVerdict::Wait;
+    }
+    m_detector.started(call, fingerprint, m_clock.now());
+    return suspected ? CrashVerdict::RunAlone : CrashVerdict::Run;
+}
+
+bool CrashGuard::suspectInFlight() const
+{
+    const auto &inFlight = m_detector.inFlight();
+    return std::any_of(inFlight.begin(), inFlight.end(),
+                       [this](const auto &call) { return m_suspects.suspected(call.second) || m_suspects.banned(call.second); });
+}
+
+void CrashGuard::completed(CallId call)
+{
+    if (const auto fingerprint = m_detector.completed(call)) {
+        m_suspects.clear(*fingerprint, m_clock.now());
+    }
+}
+
+void CrashGuard::abandoned(CallId call)
+{
+    m_detector.abandoned(call);
+}
+
+void CrashGuard::connectionBroken(CallId call)
+{
+    const auto found = m_detector.inFlight().find(call);
+    if (found != m_detector.inFlight().end()) {
+        const bool suspected = m_suspects.suspected(found->second) || m_suspects.banned(found->second);
+        crashed(m_detector.broken(call, suspected, m_clock.now()));
+    }
+}
+
+void CrashGuard::connectionRefused()
+{
+    crashed(m_detector.refused(m_clock.now()));
+}
+
+void CrashGuard::crashed(const std::vector<RequestKey> &fingerprints)
+{
+    if (fingerprints.empty()) {
+        return;
+    }
+    const std::uint64_t crash = hash64(m_options.self.value(), m_options.incarnation * 1'000'003 + ++m_crashes);
+    for (const RequestKey &fingerprint : std::set<RequestKey>(fingerprints.begin(), fingerprints.end())) {
+        m_suspects.addCrash(fingerprint, crash, m_clock.now());
+    }
+}
+
+bool CrashGuard::banned(const RequestKey &fingerprint) const
+{
+    return m_suspects.banned(fingerprint);
+}
+
+void CrashGuard::receive(const CrashSuspects &message)
+{
+    for (const SuspectReport &report : message.suspects) {
+        m_suspects.merge(report, m_clock.now());
+    }
+}
+
+std::optional<CrashSuspects> CrashGuard::takeReports()
+{
+    std::vector<SuspectReport> reports = m_suspects.dueReports(m_clock.now());
+    if (reports.empty()) {
+        return std::nullopt;
+    }
+    return CrashSuspects{.suspects = std::move(reports)};
+}
+
+CrashSuspects CrashGuard::allReports() const
+{
+    return {.suspects = m_suspects.allReports(m_clock.now())};
+}
+
+void CrashGuard::tick()
+{
+    m_suspects.expire(m_clock.now());
+}
+
+std::size_t CrashGuard::suspectCount() const
+{
+    return m_suspects.size();
+}
+
+} // namespace wisteriafork
--- a/src/core/crashguard/crashguard.h
+++ b/src/core/crashguard/crashguard.h
@@ -3,16 +3,14 @@
 #include "core/base/clock.h"
 #include "core/base/ids.h"
 #include "core/base/requestkey.h"
+#include "core/crashguard/crashdetector.h"
 #include "core/crashguard/crashguardoptions.h"
 #include "core/crashguard/crashmessages.h"
+#include "core/crashguard/suspecttable.h"
 
 #include <cstddef>
 #include <cstdint>
-#include <map>
 #include <optional>
-#include <set>
-#include <span>
-#include <unordered_map>
 #include <vector>
 
 namespace wisteriafork {
@@ -31,7 +29,7 @@
 
 // Finds requests that crash backend servers. The fingerprints in flight when a backend server's connections break together become suspects;
 // they run at most one at a time on a server, are refused everywhere after a second crash, and are cleared by a completed run or after a
-// time limit. One object per node, for the service of the local backend server. Not thread safe.
+// time limit. One object per node, for the service of the local backend server. Not thread safe. See docs/crash-guard.md.
 class CrashGuard
 {
 public:
@@ -43,16 +41,16 @@
     void completed(CallId call);
     // The call ended without an answer and without a crash: refused, cancelled or timed out.
     void abandoned(CallId call);
-    // The connection of a call broke. Several within the crash window count as one crash of the backend server.
+    // The connection of a call broke. If all calls in flight break together, the backend server has crashed.
     void connectionBroken(CallId call);
-    // A new connection to the backend server was refused, which confirms a crash when a single call was in flight.
+    // A new connection to the backend server was refused. Shortly after a break it confirms a crash, also for a single call.
     void connectionRefused();
 
-    // True if calls with the fingerprint are refused; an edge node asks before it forwards.
+    // True if calls with the fingerprint are refused.
     bool banned(const RequestKey &fingerprint) const;
 
     void receive(const CrashSuspects &message);
-    // Reports that the peers do not have yet, for all members of the service; empty if there is none. Call after each of the above.
+    // Reports to send to all other members of the service; empty if there are none. Call after each of the above and after each tick.
     std::optional<CrashSuspects> takeReports();
     // Everything known, for a member that starts.
     CrashSuspects allReports() const;
@@ -62,17 +60,14 @@
     std::size_t suspectCount() const;
 
 private:
-    struct Suspect
-    {
-        SuspectState state = SuspectState::Suspected;
-        std::set<std::uint64_t> crashes;
-        TimePoint changed;
-    };
+    bool suspectInFlight() const;
+    void crashed(const std::vector<RequestKey> &fingerprints);
 
     const CrashGuardOptions m_options;
     const Clock &m_clock;
-    std::unordered_map<RequestKey, Suspect> m_suspects;
-    std::unordered_map<CallId, RequestKey> m_inFlight;
+    CrashDetector m_detector;
+    SuspectTable m_suspects;
+    std::uint64_t m_crashes = 0;
 };
 
 } // namespace wisteriafork
--- /dev/null
+++ b/tests/crashguard/properties_test.cpp
@@ -0,0 +1,288 @@
+#include "core/base/manualclock.h"
+#include "core/crashguard/crashguard.h"
+
+#include <functional>
+#include <iostream>
+#include <map>
+#include <queue>
+#include <random>
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace wisteriafork;
+
+namespace {
+
+constexpr Duration ms(std::uint64_t count)
+{
+    return std::chrono::milliseconds(count);
+}
+
+// One service whose backend servers crash when they run the fingerprint 0. Callers send a request again some time after it failed.
+class CrashFleet
+{
+public:
+    CrashFleet(std::size_t servers, std::uint64_t seed, int lossPerMille, bool suspectsRunAlone)
+        : m_random(seed), m_lossPerMille(lossPerMille)
+    {
+        for (std::size_t index = 0; index < servers; ++index) {
+            CrashGuardOptions options;
+            options.self = NodeId("inspekcija-" + std::to_string(index));
+            options.incarnation = 1;
+            options.suspectsRunAlone = suspectsRunAlone;
+            m_servers.push_back({.guard = std::make_unique<CrashGuard>(options, m_clock), .running = {}});
+        }
+    }
+
+    void send(std::uint64_t fingerprint)
+    {
+        attempt(fingerprint, m_random() % m_servers.size(), ++m_lastCall);
+    }
+
+    void run(Duration time)
+    {
+        const TimePoint end = m_clock.now() + time;
+        for (TimePoint next = m_clock.now(); next <= end; next += ms(100)) {
+            at(next, [this] {
+                for (std::size_t index = 0; index < m_servers.size(); ++index) {
+                    m_servers[index].guard->tick();
+                    spread(index);
+                }
+            });
+        }
+        while (!m_events.empty() && m_events.top().at <= end) {
+            const Event event = m_events.top();
+            m_events.pop();
+            m_clock.set(event.at);
+            event.work();
+        }
+        m_clock.set(end);
+    }
+
+    int crashes = 0;
+    std::optional<TimePoint> secondCrash;
+    std::optional<TimePoint> lastPoisonStart;
+    std::size_t mostSuspectsTogether = 0;
+    std::map<std::uint64_t, int> completed;
+    std::map<std::uint64_t, int> refused;
+
+private:
+    struct Event
+    {
+        TimePoint at;
+        std::uint64_t sequence;
+        std::function<void()> work;
+        bool operator<(const Event &other) const
+        {
+            return std::tie(at, sequence) > std::tie(other.at, other.sequence);
+        }
+    };
+    struct Server
+    {
+        std::unique_ptr<CrashGuard> guard;
+        std::map<CallId, std::uint64_t> running;
+        bool up = true;
+    };
+
+    void at(TimePoint time, std::function<void()> work)
+    {
+        m_events.push({time, ++m_sequence, std::move(work)});
+    }
+
+    Duration between(std::uint64_t low, std::uint64_t high)
+    {
+        return ms(low + m_random() % (high - low));
+    }
+
+    void attempt(std::uint64_t fingerprint, std::size_t index, CallId call)
+    {
+        Server &server = m_servers[index];
+        if (!server.up) {
+            server.guard->connectionRefused();
+            spread(index);
+            resend(fingerprint);
+            return;
+        }
+        switch (server.guard->start(call, {.high = 7, .low = fingerprint})) {
+        case CrashVerdict::Refuse:
+            ++refused[fingerprint];
+            return;
+        case CrashVerdict::Wait:
+            at(m_clock.now() + ms(5), [this, fingerprint, index, call] { attempt(fingerprint, index, call); });
+            return;
+        case CrashVerdict::Run:
+        case CrashVerdict::RunAlone:
+            break;
+        }
+        server.running[call] = fingerprint;
+        if (fingerprint == 0) {
+            lastPoisonStart = m_clock.now();
+        }
+        at(m_clock.now() + between(5, 60), [this, index, call] { finish(index, call); });
+    }
+
+    void finish(std::size_t index, CallId call)
+    {
+        Server &server = m_servers[index];
+        const auto found = server.running.find(call);
+        if (found == server.running.end()) {
+            return;
+        }
+        const std::uint64_t fingerprint = found->second;
+        if (fingerprint == 0) {
+            crash(index);
+            return;
+        }
+        server.running.erase(found);
+        server.guard->completed(call);
+        ++completed[fingerprint];
+        spread(index);
+    }
+
+    void crash(std::size_t index)
+    {
+        Server &server = m_servers[index];
+        server.up = false;
+        if (++crashes == 2) {
+            secondCrash = m_clock.now();
+        }
+        for (const auto &[call, fingerprint] : std::exchange(server.running, {})) {
+            server.guard->connectionBroken(call);
+            resend(fingerprint);
+        }
+        server.guard->connectionRefused();
+        spread(index);
+        at(m_clock.now() + between(200, 500), [this, index] { m_servers[index].up = true; });
+    }
+
+    void resend(std::uint64_t fingerprint)
+    {
+        at(m_clock.now() + between(50, 300), [this, fingerprint] { send(fingerprint); });
+    }
+
+    void spread(std::size_t from)
+    {
+        const auto reports = m_servers[from].guard->takeReports();
+        if (!reports) {
+            return;
+        }
+        for (std::size_t index = 0; index < m_servers.size(); ++index) {
+            if (index != from && static_cast<int>(m_random() % 1000) >= m_lossPerMille) {
+                at(m_clock.now() + between(1, 20), [this, index, message = *reports] {
+                    m_servers[index].guard->receive(message);
+                    spread(index);
+                });
+            }
+        }
+    }
+
+    ManualClock m_clock;
+    std::mt19937_64 m_random;
+    int m_lossPerMille;
+    std::vector<Server> m_servers;
+    std::priority_queue<Event> m_events;
+    std::uint64_t m_sequence = 0;
+    CallId m_lastCall = 0;
+};
+
+struct Outcome
+{
+    int crashes = 0;
+    bool startedLate = false;
+    std::string innocents;
+};
+
+Outcome play(std::size_t servers, std::uint64_t seed, int loss, int copies, int innocents, bool alone)
+{
+    CrashFleet fleet(servers, seed, loss, alone);
+    for (int copy = 0; copy < copies; ++copy) {
+        fleet.send(0);
+    }
+    for (int innocent = 1; innocent <= innocents; ++innocent) {
+        fleet.send(static_cast<std::uint64_t>(innocent));
+    }
+    fleet.run(std::chrono::seconds(8));
+    Outcome outcome;
+    outcome.crashes = fleet.crashes;
+    outcome.startedLate = fleet.secondCrash && *fleet.lastPoisonStart > *fleet.secondCrash + std::chrono::seconds(1);
+    for (int innocent = 1; innocent <= innocents; ++innocent) {
+        const auto fingerprint = static_cast<std::uint64_t>(innocent);
+        if (fleet.refused[fingerprint] > 0 || fleet.completed[fingerprint] == 0) {
+            outcome.innocents += std::to_string(innocent) + " ";
+        }
+    }
+    return outcome;
+}
+
+} // namespace
+
+TEST_GROUP(CrashGuardProperties){};
+
+// Guards against a request that is still started a second after its second crash, against one that costs more servers than the stated
+// bound, and against innocent requests that are refused or never run.
+TEST(CrashGuardProperties, boundsTheServersLostAndClearsTheInnocent)
+{
+    CHECK_TRUE(rc::check("one poisonous request", [] {
+        const auto servers = *rc::gen::resize(rc::kNominalSize, rc::gen::inRange<std::size_t>(2, 8));
+        const auto copies = *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(1, 5));
+        const auto innocents = *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0, 30));
+        for (std::uint64_t seed = 0; seed < 20; ++seed) {
+            const Outcome outcome = play(servers, seed + *rc::gen::arbitrary<std::uint16_t>(), 0, copies, innocents, true);
+            RC_ASSERT(outcome.crashes <= copies + 1);
+            RC_ASSERT(!outcome.startedLate);
+            RC_ASSERT(outcome.innocents.empty());
+        }
+    }));
+}
+
+// Guards against reports that are lost on the way: they are repeated within the second.
+TEST(CrashGuardProperties, refusesWithinASecondOnLossyLinks)
+{
+    CHECK_TRUE(rc::check("one poisonous request, 20% loss", [] {
+        const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+        const Outcome outcome = play(4, seed, 200, 3, 10, true);
+        RC_ASSERT(!outcome.startedLate);
+    }));
+}
+
+// Shows that the check of innocent requests turns red when suspects may run together.
+TEST(CrashGuardProperties, innocentsAreRefusedWhenSuspectsRunTogether)
+{
+    int wronglyRefused = 0;
+    for (std::uint64_t seed = 0; seed < 200; ++seed) {
+        wronglyRefused += play(2, seed, 0, 2, 20, false).innocents.empty() ? 0 : 1;
+    }
+    CHECK_TRUE(wronglyRefused > 0);
+}
+
+// Shows that the bounds turn red when no report arrives: each node learns only from its own crashes.
+TEST(CrashGuardProperties, boundsAreExceededWithoutReports)
+{
+    int exceeded = 0;
+    int late = 0;
+    for (std::uint64_t seed = 0; seed < 50; ++seed) {
+        const Outcome outcome = play(6, seed, 1000, 1, 0, true);
+        exceeded += outcome.crashes > 2 ? 1 : 0;
+        late += outcome.startedLate ? 1 : 0;
+    }
+    CHECK_TRUE(exceeded > 0);
+    CHECK_TRUE(late > 0);
+}
+
+// Measures the servers lost for one request whose callers keep several copies of it on the way; the figures are in docs/crash-guard.md.
+TEST(CrashGuardProperties, measuresTheServersLostPerRequest)
+{
+    for (int copies = 1; copies <= 4; ++copies) {
+        int most = 0;
+        int sum = 0;
+        for (std::uint64_t seed = 0; seed < 1000; ++seed) {
+            const int crashes = play(8, seed, 0, copies, 20, true).crashes;
+            most = std::max(most, crashes);
+            sum += crashes;
+        }
+        std::cout << copies << " copies: servers lost at most " << most << ", on average " << static_cast<double>(sum) / 1000 << "\n";
+        CHECK_TRUE(most <= copies + 1);
+    }
+}
--- a/tests/ownership/fleet.cpp
+++ b/tests/ownership/fleet.cpp
@@ -151,6 +151,11 @@
     after(upTo(ClientDelayMs), [this, key, to] { this->node(to).clientCall(key); });
 }
 
+std::uint64_t Fleet::controlMessages() const
+{
+    return m_controlMessages;
+}
+
 bool Fleet::connected(int from, int to) const
 {
     return m_cutUntil[static_cast<std::size_t>(from)][static_cast<std::size_t>(to)] <= m_now;
@@ -158,6 +163,7 @@
 
 void Fleet::control(int from, int to, std::function<void()> deliver)
 {
+    ++m_controlMessages;
     const bool cut = !connected(from, to);
     if (chance(m_schedule.duplicates)) {
         after(upTo(1500), deliver);
--- a/tests/ownership/fleet.h
+++ b/tests/ownership/fleet.h
@@ -41,6 +41,8 @@
     RequestKey keyRanking(const std::vector<int> &order) const;
     void clientSends(const RequestKey &key, int node);
     int indexOf(const NodeId &name) const;
+    // Control messages sent so far.
+    std::uint64_t controlMessages() const;
     // Delivers a control message, or not, as the schedule says.
     void control(int from, int to, std::function<void()> deliver);
     // Delivers a call or its outcome: in order, never twice, and late only behind a cut link.
@@ -83,6 +85,7 @@
     std::priority_queue<Event, std::vector<Event>, Later> m_events;
     std::vector<std::unique_ptr<SimNode>> m_nodes;
     Judge m_judge;
+    std::uint64_t m_controlMessages = 0;
     bool m_faulty = false;
     // Time until which a link is cut, by sender and receiver.
     std::vector<std::vector<TimePoint>> m_cutUntil;
