--- a/bench/routing/main.cpp
+++ b/bench/routing/main.cpp
@@ -46,7 +46,7 @@
     RandomEngine random(1);
     Router router({}, DomainId("domain-0"), clock, random);
     const std::vector<MemberInfo> members = makeMembers(instances);
-    std::vector<Candidate> candidates;
+    std::vector<RouteCandidate> candidates;
     for (const MemberInfo &member : members) {
         candidates.push_back({.member = member});
     }
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -45,9 +45,9 @@
         }
     }
 
-    std::vector<Candidate> candidates() const
+    std::vector<RouteCandidate> candidates() const
     {
-        std::vector<Candidate> result;
+        std::vector<RouteCandidate> result;
         for (const MemberInfo &member : members) {
             result.push_back({.member = member});
         }
@@ -69,7 +69,7 @@
 TEST(Router, givesNothingToLeavingOrSuspectedInstances)
 {
     Router router({}, DomainId("a"), clock, random);
-    std::vector<Candidate> some = candidates();
+    std::vector<RouteCandidate> some = candidates();
     some[0].leaving = true;
     some[1].suspected = true;
     router.update(Service, some);
