--- a/tests/process/loadclient.cpp
+++ b/tests/process/loadclient.cpp
@@ -48,6 +48,7 @@
 {
     const std::lock_guard lock(m_mutex);
     m_requests = m_sent;
+    m_stopped = true;
     m_changed.notify_all();
 }
 
@@ -96,12 +97,13 @@
             ++(result.error() == ExchangeError::NotSent ? m_counts.notSent : m_counts.broken);
         } else if (result->status == 200) {
             ++(result->body == StandinServer::answerTo(*request) ? m_counts.matching : m_counts.mismatching);
-        } else if (result->headers.find("wf-outcome") == "not-run") {
-            ++m_counts.refusedNotRun;
+        } else if (result->headers.find("wf-outcome") != "not-run") {
+            ++m_counts.otherErrors;
+        } else if (m_stopped) {
+            ++m_counts.refusedAtEnd;
+        } else {
             sendAgain(request);
             return;
-        } else {
-            ++m_counts.otherErrors;
         }
         m_changed.notify_all();
     }
--- a/tests/process/loadclient.h
+++ b/tests/process/loadclient.h
@@ -26,12 +26,12 @@
     std::uint64_t notSent = 0;
     // The connection broke without a whole answer.
     std::uint64_t broken = 0;
-    // Refusals that say that the request was not run. Each is sent again, so these do not count as outcomes.
-    std::uint64_t refusedNotRun = 0;
+    // Requests that were refused as not run after `stopSending`. Earlier ones are sent again.
+    std::uint64_t refusedAtEnd = 0;
 
     std::uint64_t total() const
     {
-        return matching + mismatching + otherErrors + notSent + broken;
+        return matching + mismatching + otherErrors + notSent + broken + refusedAtEnd;
     }
 };
 
@@ -63,6 +63,7 @@
     LoadCounts m_counts;
     std::uint64_t m_requests = 0;
     std::uint64_t m_sent = 0;
+    bool m_stopped = false;
     std::thread m_thread;
 };
 
