--- /dev/null
+++ b/tests/net/httpserver_test.cpp
@@ -0,0 +1,163 @@
+#include "echoserver.h"
+
+#include <array>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace wisteriafork;
+
+namespace {
+
+HttpLimits smallLimits()
+{
+    HttpLimits limits;
+    limits.headerBytes = 2048;
+    limits.requestBodyBytes = 1000;
+    limits.requestTimeout = std::chrono::milliseconds(200);
+    return limits;
+}
+
+// Plain client that sends exact bytes.
+class RawClient
+{
+public:
+    explicit RawClient(const Tcp::endpoint &server) : m_socket(m_context)
+    {
+        m_socket.connect(server);
+    }
+
+    void send(std::string_view bytes)
+    {
+        ErrorCode error;
+        asio::write(m_socket, asio::buffer(bytes.data(), bytes.size()), error);
+    }
+
+    // Everything up to the given text; what came until the end of the connection if the text does not appear.
+    std::string readUntil(std::string_view end)
+    {
+        std::string text;
+        ErrorCode error;
+        std::array<char, 1> byte{};
+        while (!error && (end.empty() || !text.ends_with(end))) {
+            const std::size_t size = m_socket.read_some(asio::buffer(byte), error);
+            text.append(byte.data(), size);
+        }
+        return text;
+    }
+
+    // Everything until the server closes the connection.
+    std::string readToEnd()
+    {
+        return readUntil({});
+    }
+
+private:
+    asio::io_context m_context;
+    Tcp::socket m_socket;
+};
+
+bool contains(const std::string &text, std::string_view part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+TEST_GROUP(HttpServer)
+{
+    EchoHandler handler;
+    RunningContext running;
+    HttpServer server{running.context, handler, smallLimits()};
+
+    void setup() override
+    {
+        server.listen(Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    }
+};
+
+// Guards against answers out of order or mixed up on one connection.
+TEST(HttpServer, answersPipelinedRequestsInOrder)
+{
+    RawClient client(server.address());
+
+    client.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n\r\nPOST /3 HTTP/1.1\r\nHost: a\r\nContent-Length: "
+                "2\r\n\r\nhi");
+
+    CHECK(contains(client.readUntil("GET /1 "), "HTTP/1.1 200 OK"));
+    CHECK(contains(client.readUntil("GET /2 "), "HTTP/1.1 200 OK"));
+    CHECK(contains(client.readUntil("POST /3 hi"), "Content-Length: 10"));
+}
+
+// Guards against a body that is read wrongly when its length is not known beforehand or when it arrives in pieces.
+TEST(HttpServer, readsChunkedBodies)
+{
+    RawClient client(server.address());
+
+    client.send("POST /c HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nExpect: 100-continue\r\n\r\n");
+    STRCMP_EQUAL("HTTP/1.1 100 Continue\r\n\r\n", client.readUntil("\r\n\r\n").c_str());
+    client.send("3\r\nab");
+    client.send("c\r\n2\r\nde\r\n0\r\n\r\n");
+
+    CHECK(contains(client.readUntil("POST /c abcde"), "200 OK"));
+}
+
+// Guards against a body in the answer to HEAD, which a client would take for the next answer.
+TEST(HttpServer, answersHeadWithoutBody)
+{
+    RawClient client(server.address());
+
+    client.send("HEAD /h HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    const std::string answer = client.readToEnd();
+
+    CHECK(contains(answer, "Content-Length: 8"));
+    CHECK(contains(answer, "Connection: close"));
+    CHECK(answer.ends_with("\r\n\r\n"));
+}
+
+// Guards against input without bounds.
+TEST(HttpServer, refusesInputAboveItsLimits)
+{
+    RawClient body(server.address());
+    body.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1001\r\n\r\n");
+    CHECK(contains(body.readToEnd(), "HTTP/1.1 413"));
+
+    RawClient header(server.address());
+    header.send("GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(4000, 'x') + "\r\n\r\n");
+    CHECK(contains(header.readToEnd(), "HTTP/1.1 431"));
+
+    RawClient slow(server.address());
+    slow.send("GET / HTTP/1.1\r\nHos");
+    CHECK(contains(slow.readToEnd(), "HTTP/1.1 408"));
+
+    RawClient malformed(server.address());
+    malformed.send("\x01\x02\x03 nonsense\r\n\r\n");
+    CHECK(contains(malformed.readToEnd(), "HTTP/1.1 400"));
+    CHECK_EQUAL(0, handler.received.load());
+}
+
+// Guards against work that goes on for a caller that has hung up.
+TEST(HttpServer, noticesACallerThatHangsUp)
+{
+    {
+        RawClient client(server.address());
+        client.send("GET /hold HTTP/1.1\r\nHost: a\r\n\r\n");
+        CHECK(eventually([&] { return handler.received == 1; }));
+    }
+
+    CHECK(eventually([&] { return handler.gone == 1; }));
+    handler.release();
+}
+
+// Guards against a stop that breaks off a request in progress.
+TEST(HttpServer, finishesRequestsWhenItStops)
+{
+    RawClient client(server.address());
+    client.send("GET /hold HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK(eventually([&] { return handler.received == 1; }));
+
+    server.stop();
+    handler.release();
+
+    CHECK(contains(client.readToEnd(), "Connection: close\r\n\r\nGET /hold "));
+    CHECK(eventually([&] { return server.connectionCount() == 0; }));
+}
