--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -5,6 +5,7 @@
 #include "daemon/serverloadpoller.h"
 #include "net/httpserver.h"
 #include "net/peerserver.h"
+#include "net/tlscontext.h"
 
 #include <csignal>
 #include <sstream>
@@ -27,6 +28,10 @@
 {
     PeerOptions options;
     options.limits = settings.limits;
+    if (settings.tls) {
+        options.tls = std::make_shared<TlsContext>(
+            TlsFiles{.certificate = settings.tls->certificateFile, .key = settings.tls->keyFile, .authority = settings.tls->authorityFile});
+    }
     return options;
 }
 
--- a/src/net/peerserversession.cpp
+++ b/src/net/peerserversession.cpp
@@ -27,7 +27,10 @@
 
 PeerServerSession::PeerServerSession(std::unique_ptr<PeerTransport> transport, const PeerOptions &options, ServerHandler &handler,
                                      std::shared_ptr<std::atomic<std::size_t>> sessions)
-    : Http2Session(std::move(transport), options, true), m_handler(handler), m_sessions(std::move(sessions))
+    : Http2Session(std::move(transport), options, true)
+    , m_handler(handler)
+    , m_sessions(std::move(sessions))
+    , m_acceptTimer(this->transport().strand())
 {
     ++*m_sessions;
 }
@@ -41,12 +44,15 @@
 {
     asio::dispatch(transport().strand(), [self = std::static_pointer_cast<PeerServerSession>(shared_from_this())] {
         self->m_remoteAddress = self->transport().remoteAddress();
+        self->m_acceptTimer.setHandler(self, [session = self.get()] { session->close(); });
+        self->m_acceptTimer.expireAfter(self->options().connectTimeout);
         self->transport().accept([self](const ErrorCode &error) {
+            self->m_acceptTimer.cancel();
             if (error) {
                 self->close();
-                return;
+            } else if (!self->isClosed()) {
+                self->startIo();
             }
-            self->startIo();
         });
     });
 }
--- a/src/net/peerserversession.h
+++ b/src/net/peerserversession.h
@@ -35,6 +35,8 @@
     std::shared_ptr<std::atomic<std::size_t>> m_sessions;
     std::unordered_map<StreamId, std::shared_ptr<Exchange>> m_exchanges;
     std::string m_remoteAddress;
+    // Bounds the time for authentication.
+    LazyTimer m_acceptTimer;
 };
 
 } // namespace wisteriafork
