--- a/src/daemon/platformclient.cpp
+++ b/src/daemon/platformclient.cpp
@@ -14,7 +14,7 @@
 constexpr std::chrono::milliseconds RetryPause{1000};
 constexpr std::size_t Connections = 64;
 // A value is at most 1 MB; JSON escapes can make the answer several times as large.
-constexpr std::size_t MaxAnswer = 8 * 1024 * 1024;
+constexpr std::size_t MaxAnswer = std::size_t{8} * 1024 * 1024;
 
 HttpClientOptions clientOptions(const Tcp::endpoint &service)
 {
--- a/src/daemon/serverloadpoller.cpp
+++ b/src/daemon/serverloadpoller.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::size_t MaxLoadAnswer = 64 * 1024;
+constexpr std::size_t MaxLoadAnswer = std::size_t{64} * 1024;
 
 HttpClientOptions clientOptions(const ServerSettings &server)
 {
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::size_t MaxSettingsBytes = 1024 * 1024;
+constexpr std::size_t MaxSettingsBytes = std::size_t{1024} * 1024;
 constexpr std::uint64_t MaxMilliseconds = 24ULL * 3600 * 1000;
 constexpr std::uint64_t MaxWorkers = 64;
 constexpr std::uint64_t MaxConnections = 65536;
--- a/src/net/http2engine.cpp
+++ b/src/net/http2engine.cpp
@@ -1,5 +1,7 @@
 #include "net/http2engine.h"
 
+#include "net/http2stream.h"
+
 #include <algorithm>
 #include <cstring>
 #include <unordered_map>
@@ -17,55 +19,6 @@
 // Header field that carries the length of an answer to HEAD. `content-length` itself would have to match the (empty) body of the stream.
 constexpr std::string_view HeadLengthField = "wf-head-length";
 
-struct Stream
-{
-    // Collected message. Request fields are used on the server side, the others on the client side.
-    HttpRequest request;
-    HttpResponse response;
-    std::size_t headerBytes = 0;
-    // Message to send.
-    std::shared_ptr<const HttpRequest> outgoingRequest;
-    std::string outgoingBody;
-    std::size_t sent = 0;
-    bool headerSent = false;
-    bool complete = false;
-    bool answered = false;
-    bool cancelled = false;
-    bool tooLarge = false;
-
-    std::string_view body() const
-    {
-        return outgoingRequest ? std::string_view(outgoingRequest->body) : std::string_view(outgoingBody);
-    }
-};
-
-nghttp2_nv field(std::string_view name, std::string_view value)
-{
-    // nghttp2 does not change the bytes, although the type is not const.
-    return {.name = reinterpret_cast<std::uint8_t *>(const_cast<char *>(name.data())),
-            .value = reinterpret_cast<std::uint8_t *>(const_cast<char *>(value.data())),
-            .namelen = name.size(),
-            .valuelen = value.size(),
-            .flags = NGHTTP2_NV_FLAG_NONE};
-}
-
-std::string_view view(const std::uint8_t *data, std::size_t size)
-{
-    return {reinterpret_cast<const char *>(data), size};
-}
-
-bool parseNumber(std::string_view text, std::uint64_t &number)
-{
-    number = 0;
-    for (const char c : text) {
-        if (c < '0' || c > '9') {
-            return false;
-        }
-        number = number * 10 + static_cast<unsigned>(c - '0');
-    }
-    return !text.empty() && text.size() < 19;
-}
-
 } // namespace
 
 class Http2Engine::Private
@@ -104,7 +57,7 @@
     Private(const Private &) = delete;
     Private &operator=(const Private &) = delete;
 
-    Stream *find(StreamId id)
+    Http2Stream *find(StreamId id)
     {
         const auto found = streams.find(id);
         return found == streams.end() ? nullptr : found->second.get();
@@ -115,7 +68,7 @@
         nghttp2_submit_rst_stream(session, NGHTTP2_FLAG_NONE, id, code);
     }
 
-    void takeHeader(Stream &stream, std::string_view name, std::string_view value) const
+    void takeHeader(Http2Stream &stream, std::string_view name, std::string_view value) const
     {
         HttpHeaders &headers = options.server ? stream.request.headers : stream.response.headers;
         std::uint64_t number = 0;
@@ -124,9 +77,9 @@
         } else if (name == ":path") {
             stream.request.target = value;
         } else if (name == ":status") {
-            stream.response.status = parseNumber(value, number) ? static_cast<unsigned>(number) : 0;
+            stream.response.status = parseHttp2Number(value, number) ? static_cast<unsigned>(number) : 0;
         } else if (name == HeadLengthField && !options.server) {
-            if (parseNumber(value, number)) {
+            if (parseHttp2Number(value, number)) {
                 stream.response.headLength = number;
             }
         } else if (!name.starts_with(':')) {
@@ -134,7 +87,7 @@
         }
     }
 
-    void addData(StreamId id, Stream &stream, std::string_view data)
+    void addData(StreamId id, Http2Stream &stream, std::string_view data)
     {
         std::string &body = options.server ? stream.request.body : stream.response.body;
         const std::size_t limit = options.server ? options.limits.requestBodyBytes : options.limits.answerBodyBytes;
@@ -154,7 +107,7 @@
         body.append(data);
     }
 
-    void messageEnded(StreamId id, Stream &stream)
+    void messageEnded(StreamId id, Http2Stream &stream)
     {
         if (stream.complete || stream.cancelled || stream.tooLarge) {
             return;
@@ -175,7 +128,7 @@
         if (found == streams.end()) {
             return;
         }
-        const std::unique_ptr<Stream> stream = std::move(found->second);
+        const std::unique_ptr<Http2Stream> stream = std::move(found->second);
         streams.erase(found);
         if (!stream->complete) {
             buffered -= options.server ? stream->request.body.size() : stream->response.body.size();
@@ -202,7 +155,7 @@
     {
         Private &engine = self(userData);
         if (engine.options.server && frame->hd.type == NGHTTP2_HEADERS && frame->headers.cat == NGHTTP2_HCAT_REQUEST) {
-            engine.streams.emplace(frame->hd.stream_id, std::make_unique<Stream>());
+            engine.streams.emplace(frame->hd.stream_id, std::make_unique<Http2Stream>());
         }
         return 0;
     }
@@ -211,7 +164,7 @@
                         const std::uint8_t *value, std::size_t valueSize, std::uint8_t, void *userData)
     {
         Private &engine = self(userData);
-        Stream *stream = engine.find(frame->hd.stream_id);
+        Http2Stream *stream = engine.find(frame->hd.stream_id);
         if (stream == nullptr || frame->hd.type != NGHTTP2_HEADERS) {
             return 0;
         }
@@ -219,15 +172,15 @@
         if (stream->headerBytes > 2 * engine.options.limits.headerBytes) {
             return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
         }
-        engine.takeHeader(*stream, view(name, nameSize), view(value, valueSize));
+        engine.takeHeader(*stream, http2Text(name, nameSize), http2Text(value, valueSize));
         return 0;
     }
 
     static int onData(nghttp2_session *, std::uint8_t, StreamId id, const std::uint8_t *data, std::size_t size, void *userData)
     {
         Private &engine = self(userData);
-        if (Stream *stream = engine.find(id)) {
-            engine.addData(id, *stream, view(data, size));
+        if (Http2Stream *stream = engine.find(id)) {
+            engine.addData(id, *stream, http2Text(data, size));
         }
         return 0;
     }
@@ -242,7 +195,7 @@
         if (!message || (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) == 0) {
             return 0;
         }
-        if (Stream *stream = engine.find(frame->hd.stream_id)) {
+        if (Http2Stream *stream = engine.find(frame->hd.stream_id)) {
             engine.messageEnded(frame->hd.stream_id, *stream);
         }
         return 0;
@@ -251,7 +204,7 @@
     static int onFrameSent(nghttp2_session *, const nghttp2_frame *frame, void *userData)
     {
         if (frame->hd.type == NGHTTP2_HEADERS) {
-            if (Stream *stream = self(userData).find(frame->hd.stream_id)) {
+            if (Http2Stream *stream = self(userData).find(frame->hd.stream_id)) {
                 stream->headerSent = true;
             }
         }
@@ -267,7 +220,7 @@
     static ssize_t readBody(nghttp2_session *, StreamId, std::uint8_t *buffer, std::size_t size, std::uint32_t *flags,
                             nghttp2_data_source *source, void *)
     {
-        Stream &stream = *static_cast<Stream *>(source->ptr);
+        Http2Stream &stream = *static_cast<Http2Stream *>(source->ptr);
         const std::string_view rest = stream.body().substr(stream.sent);
         const std::size_t count = std::min(size, rest.size());
         std::memcpy(buffer, rest.data(), count);
@@ -281,7 +234,7 @@
     Http2Observer &observer;
     const Http2Options options;
     nghttp2_session *session = nullptr;
-    std::unordered_map<StreamId, std::unique_ptr<Stream>> streams;
+    std::unordered_map<StreamId, std::unique_ptr<Http2Stream>> streams;
     // Body bytes of messages that are not complete.
     std::size_t buffered = 0;
     bool peerShutDown = false;
@@ -311,7 +264,7 @@
         if (size == 0) {
             return true;
         }
-        output.append(view(data, static_cast<std::size_t>(size)));
+        output.append(http2Text(data, static_cast<std::size_t>(size)));
     }
     return true;
 }
@@ -320,21 +273,21 @@
 {
     std::vector<nghttp2_nv> fields;
     fields.reserve(4 + request->headers.fields().size() + extra.fields().size());
-    fields.push_back(field(":method", "POST"));
-    fields.push_back(field(":scheme", "http"));
-    fields.push_back(field(":path", extra.find(":path")));
-    fields.push_back(field(":authority", "node"));
+    fields.push_back(http2Field(":method", "POST"));
+    fields.push_back(http2Field(":scheme", "http"));
+    fields.push_back(http2Field(":path", extra.find(":path")));
+    fields.push_back(http2Field(":authority", "node"));
     for (const auto &[name, value] : request->headers.fields()) {
         if (!extra.contains(name)) {
-            fields.push_back(field(name, value));
+            fields.push_back(http2Field(name, value));
         }
     }
     for (const auto &[name, value] : extra.fields()) {
         if (!name.starts_with(':')) {
-            fields.push_back(field(name, value));
+            fields.push_back(http2Field(name, value));
         }
     }
-    auto stream = std::make_unique<Stream>();
+    auto stream = std::make_unique<Http2Stream>();
     stream->outgoingRequest = request;
     const nghttp2_data_provider provider{.source = {.ptr = stream.get()}, .read_callback = Private::readBody};
     const StreamId id
@@ -347,7 +300,7 @@
 
 void Http2Engine::submitResponse(StreamId id, HttpResponse response)
 {
-    Stream *stream = d->find(id);
+    Http2Stream *stream = d->find(id);
     if (stream == nullptr || stream->answered) {
         return;
     }
@@ -356,12 +309,12 @@
     const std::string headLength = response.headLength ? std::to_string(*response.headLength) : std::string();
     std::vector<nghttp2_nv> fields;
     fields.reserve(2 + response.headers.fields().size());
-    fields.push_back(field(":status", status));
+    fields.push_back(http2Field(":status", status));
     if (response.headLength) {
-        fields.push_back(field(HeadLengthField, headLength));
+        fields.push_back(http2Field(HeadLengthField, headLength));
     }
     for (const auto &[name, value] : response.headers.fields()) {
-        fields.push_back(field(name, value));
+        fields.push_back(http2Field(name, value));
     }
     stream->outgoingBody = std::move(response.body);
     const nghttp2_data_provider provider{.source = {.ptr = stream}, .read_callback = Private::readBody};
@@ -374,7 +327,7 @@
 
 void Http2Engine::cancel(StreamId id)
 {
-    if (Stream *stream = d->find(id)) {
+    if (Http2Stream *stream = d->find(id)) {
         stream->cancelled = true;
         d->reset(id, NGHTTP2_CANCEL);
     }
--- a/src/net/http2engine.h
+++ b/src/net/http2engine.h
@@ -33,7 +33,7 @@
     bool server = false;
     HttpLimits limits;
     std::uint32_t concurrentStreams = 4096;
-    std::size_t bufferedBytes = 64 * 1024 * 1024;
+    std::size_t bufferedBytes = std::size_t{64} * 1024 * 1024;
 };
 
 // One HTTP/2 session without I/O: takes received bytes and gives bytes to send. Requests and answers are collected whole. Not thread safe.
--- a/src/net/http2session.cpp
+++ b/src/net/http2session.cpp
@@ -5,9 +5,9 @@
 namespace {
 
 // Bytes that are taken from the engine for one write.
-constexpr std::size_t WriteChunk = 256 * 1024;
+constexpr std::size_t WriteChunk = std::size_t{256} * 1024;
 // A larger output buffer is released after its write.
-constexpr std::size_t KeptOutput = 64 * 1024;
+constexpr std::size_t KeptOutput = std::size_t{64} * 1024;
 
 } // namespace
 
--- a/src/net/httpclientconnection.cpp
+++ b/src/net/httpclientconnection.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::size_t ReadChunk = 64 * 1024;
+constexpr std::size_t ReadChunk = std::size_t{64} * 1024;
 // One buffer per thread, so that idle connections hold none.
 thread_local std::array<char, ReadChunk> readBuffer;
 
--- a/src/net/httpserverconnection.cpp
+++ b/src/net/httpserverconnection.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 // Input beyond this is not read while a request is in progress; the sender then waits.
-constexpr std::size_t MaxPipelinedBytes = 64 * 1024;
-constexpr std::size_t ReadChunk = 64 * 1024;
+constexpr std::size_t MaxPipelinedBytes = std::size_t{64} * 1024;
+constexpr std::size_t ReadChunk = std::size_t{64} * 1024;
 // Bodies are read in chunks of this size from one buffer per thread, so that idle connections hold none.
 thread_local std::array<char, ReadChunk> readBuffer;
 // Time for which input is discarded after the last answer of a connection.
--- a/src/net/peeroptions.h
+++ b/src/net/peeroptions.h
@@ -24,7 +24,7 @@
     // Streams that one peer may have open at the same time.
     std::uint32_t concurrentStreams = 4096;
     // Request bytes that one session may hold; further streams are refused.
-    std::size_t bufferedBytes = 64 * 1024 * 1024;
+    std::size_t bufferedBytes = std::size_t{64} * 1024 * 1024;
     // Mutual authentication; null means plain text.
     std::shared_ptr<const TlsContext> tls;
 };
--- a/src/net/plaintransport.cpp
+++ b/src/net/plaintransport.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::size_t ReadChunk = 256 * 1024;
+constexpr std::size_t ReadChunk = std::size_t{256} * 1024;
 // One buffer per thread, so that idle sessions hold none.
 thread_local std::array<char, ReadChunk> readBuffer;
 
