Count outcomes in the daemon and show them to the administration API

Cause: outcomes, metrics and the administration source existed without data. A forwarded booking is no longer forwarded again, because the owner must ask the node at which it entered for other copies; and a backend server that refuses after it has made calls counts as outcome unknown.

--- a/src/core/node/forwardmode.h
+++ b/src/core/node/forwardmode.h
@@ -12,9 +12,6 @@
     Own = 1,
     // Run the call on your backend server on behalf of the owner that sends this; the owner has the key on record.
     Execute = 2,
-    // As `Own`, sent by a member that is not the owner. It is not redirected again, so that members with different views cannot pass a call
-    // round in circles.
-    OwnRedirected = 3,
 };
 
 } // namespace wisteriafork
--- a/src/core/node/keyedcalls.cpp
+++ b/src/core/node/keyedcalls.cpp
@@ -15,7 +15,7 @@
 
 void KeyedCalls::place(CallState &state)
 {
-    if (state.mode == ForwardMode::Own || state.mode == ForwardMode::OwnRedirected) {
+    if (state.mode == ForwardMode::Own) {
         decide(state);
         return;
     }
@@ -231,12 +231,12 @@
         return;
     }
     const Refusal unreachable{.kind = RefusalKind::OutcomeUnknown, .reason = RefusalReason::OwnerUnreachable};
-    if (state->mode == ForwardMode::OwnRedirected) {
+    // The owner asks the node at which the call entered the fleet for other copies of it, so a forwarded call is not forwarded again.
+    if (!state->from.empty()) {
         refuse(*state, unreachable);
         return;
     }
-    const ForwardMode mode = state->from.empty() ? ForwardMode::Own : ForwardMode::OwnRedirected;
-    if (m_forwarded.send(*state, output.to, mode, "another member owns the request key")) {
+    if (m_forwarded.send(*state, output.to, ForwardMode::Own, "another member owns the request key")) {
         refuse(*state, unreachable);
     }
 }
--- a/src/core/node/localcalls.cpp
+++ b/src/core/node/localcalls.cpp
@@ -89,10 +89,11 @@
         RunLocal{.id = state.call.id, .remaining = state.call.deadline - m_parts.clock.now(), .attemptsLeft = handed.attemptsLeft});
 }
 
-void LocalCalls::release(CallState &state, CallOutcome outcome)
+Duration LocalCalls::release(CallState &state, CallOutcome outcome)
 {
     const Duration waited = m_parts.attribution.finished(state.call.id, m_parts.clock.now());
     m_parts.admission.finish(state.call.id, outcome, waited);
+    return waited;
 }
 
 void LocalCalls::endRefused(CallState &state, const Refusal &refusal)
@@ -133,7 +134,7 @@
     if (state == nullptr || state->stage != CallStage::RunningLocally) {
         return;
     }
-    release(*state, outcomeOf(event.failure));
+    const Duration waited = release(*state, outcomeOf(event.failure));
     if (event.failure == ServerFailure::ConnectionBroken) {
         m_parts.crashGuard.connectionBroken(event.id);
     } else {
@@ -143,7 +144,12 @@
         m_parts.crashGuard.connectionRefused();
         m_parts.admission.serverRestarted();
     }
-    endRefused(*state, refusalOf(event.failure));
+    Refusal refusal = refusalOf(event.failure);
+    if (waited > Duration(0)) {
+        // A server that has made calls for the request has begun to run it, whatever its status says.
+        refusal.kind = RefusalKind::OutcomeUnknown;
+    }
+    endRefused(*state, refusal);
     poll();
 }
 
--- a/src/core/node/localcalls.h
+++ b/src/core/node/localcalls.h
@@ -28,7 +28,8 @@
     void apply(CallState &state, const AdmissionResult &result);
     void start(CallState &state);
     // Takes the call off the backend server's books.
-    void release(CallState &state, CallOutcome outcome);
+    // Returns the time that the call spent waiting for its own calls.
+    Duration release(CallState &state, CallOutcome outcome);
     void endRefused(CallState &state, const Refusal &refusal);
     void offerHeldCalls();
 
--- a/src/core/node/nodecore.cpp
+++ b/src/core/node/nodecore.cpp
@@ -111,6 +111,32 @@
     return d->parts.membership;
 }
 
+const MemberInfo &NodeCore::self() const
+{
+    return d->parts.options.self;
+}
+
+bool NodeCore::isDraining() const
+{
+    return d->parts.draining;
+}
+
+LoadReport NodeCore::loadReport()
+{
+    return d->parts.loadReport({});
+}
+
+std::vector<std::pair<MemberInfo, MemberState>> NodeCore::members() const
+{
+    std::vector<std::pair<MemberInfo, MemberState>> members;
+    for (const auto &[service, list] : d->parts.hostLists) {
+        for (const MemberInfo &member : list.members) {
+            members.emplace_back(member, d->parts.membership.state(member.name).value_or(MemberState::Live));
+        }
+    }
+    return members;
+}
+
 const Ownership *NodeCore::ownership() const
 {
     return d->calls.keyedCalls().ownership();
--- a/src/core/node/nodecore.h
+++ b/src/core/node/nodecore.h
@@ -4,9 +4,11 @@
 #include "core/distribution/distributionstatus.h"
 #include "core/node/action.h"
 #include "core/node/event.h"
+#include "core/membership/memberstate.h"
 #include "core/node/nodeoptions.h"
 
 #include <memory>
+#include <utility>
 #include <vector>
 
 namespace wisteriafork {
@@ -31,6 +33,12 @@
     // State of configuration and host lists for the status page.
     DistributionStatus distributionStatus() const;
     const Membership &membership() const;
+    const MemberInfo &self() const;
+    bool isDraining() const;
+    // Load of the local backend server as this node limits it.
+    LoadReport loadReport();
+    // Listed instances of the services that this node knows, with what it believes of them.
+    std::vector<std::pair<MemberInfo, MemberState>> members() const;
     // Null before the first configuration.
     const Ownership *ownership() const;
 
--- a/src/daemon/answerer.cpp
+++ b/src/daemon/answerer.cpp
@@ -31,12 +31,30 @@
         respond(action.id, std::move(response), action.load);
         return;
     }
+    if (record && record->call.origin == CallOrigin::Caller && !record->responded) {
+        m_statistics.refused(record->call, action.refusal);
+    }
     respond(action.id, refusalResponse(action.refusal), action.load);
 }
 
+void Answerer::count(CallId id, bool replayed)
+{
+    const std::shared_ptr<CallRecord> record = m_calls.find(id);
+    if (!record || record->responded) {
+        return;
+    }
+    if (record->call.origin == CallOrigin::Caller) {
+        m_statistics.completed(record->call, m_clock.now() - record->arrived, replayed);
+    }
+    if (replayed) {
+        m_statistics.duplicateSuppressed(record->call);
+    }
+}
+
 void Answerer::relay(const RelayAnswer &action)
 {
     if (const std::shared_ptr<const HttpResponse> answer = m_calls.answerOf(action.id)) {
+        count(action.id, answer->headers.find("wf-outcome") == "replayed");
         respond(action.id, *answer, action.load);
         return;
     }
@@ -61,6 +79,7 @@
     HttpResponse response = *answer;
     response.headers.remove("wf-outcome");
     response.headers.add("wf-outcome", "replayed");
+    count(action.id, true);
     respond(action.id, std::move(response), m_lastLoad);
 }
 
--- a/src/daemon/answerer.h
+++ b/src/daemon/answerer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/node/action.h"
+#include "daemon/callstatistics.h"
 #include "daemon/calltable.h"
 #include "daemon/storedanswers.h"
 
@@ -11,7 +12,8 @@
 class Answerer
 {
 public:
-    explicit Answerer(CallTable &calls) : m_calls(calls)
+    Answerer(CallTable &calls, CallStatistics &statistics, const Clock &clock)
+        : m_calls(calls), m_statistics(statistics), m_clock(clock)
     {
     }
 
@@ -24,7 +26,12 @@
 private:
     void respond(CallId id, HttpResponse response, const LoadReport &load);
 
+    // Counts the answer to a caller, once for each call.
+    void count(CallId id, bool replayed);
+
     CallTable &m_calls;
+    CallStatistics &m_statistics;
+    const Clock &m_clock;
     StoredAnswers m_stored;
     // Load report of the last answer to a peer, for answers that come without one.
     LoadReport m_lastLoad;
--- a/src/daemon/callreceiver.cpp
+++ b/src/daemon/callreceiver.cpp
@@ -28,8 +28,8 @@
 
 } // namespace
 
-CallReceiver::CallReceiver(CallOrigin origin, CallTable &calls, CoreRunner &core, const Clock &clock)
-    : m_origin(origin), m_calls(calls), m_core(core), m_clock(clock)
+CallReceiver::CallReceiver(CallOrigin origin, CallTable &calls, CoreRunner &core, const Clock &clock, CallStatistics &statistics)
+    : m_origin(origin), m_calls(calls), m_core(core), m_clock(clock), m_statistics(statistics)
 {
 }
 
@@ -53,16 +53,23 @@
     CallRecord record;
     record.call = std::move(classified->call);
     record.traceId = classified->traceId;
+    record.arrived = m_clock.now();
     record.request = exchange->request;
     record.exchange = exchange;
     const std::shared_ptr<CallRecord> added = m_calls.add(std::move(record));
     exchange->tag = added->call.id;
+    m_statistics.arrived(added->call);
     m_core.post(CallArrived{.call = added->call, .traceId = std::move(classified->traceId)}, added->call.id);
 }
 
 void CallReceiver::handleGone(ServerExchange &exchange)
 {
     if (exchange.tag != 0) {
+        if (m_origin == CallOrigin::Caller) {
+            if (const std::shared_ptr<CallRecord> record = m_calls.find(exchange.tag)) {
+                m_statistics.abandoned(record->call);
+            }
+        }
         m_calls.noteCallerGone(exchange.tag);
         m_core.post(CallerGone{.id = exchange.tag}, exchange.tag);
     }
--- a/src/daemon/callreceiver.h
+++ b/src/daemon/callreceiver.h
@@ -2,6 +2,7 @@
 
 #include "core/base/clock.h"
 #include "daemon/calltable.h"
+#include "daemon/callstatistics.h"
 #include "daemon/corerunner.h"
 #include "net/serverexchange.h"
 
@@ -12,7 +13,7 @@
 {
 public:
     // `origin` is `Caller` or `LocalService`.
-    CallReceiver(CallOrigin origin, CallTable &calls, CoreRunner &core, const Clock &clock);
+    CallReceiver(CallOrigin origin, CallTable &calls, CoreRunner &core, const Clock &clock, CallStatistics &statistics);
 
     void handleRequest(std::shared_ptr<ServerExchange> exchange) override;
     void handleGone(ServerExchange &exchange) override;
@@ -22,6 +23,7 @@
     CallTable &m_calls;
     CoreRunner &m_core;
     const Clock &m_clock;
+    CallStatistics &m_statistics;
 };
 
 } // namespace wisteriafork
--- a/src/daemon/callrecord.h
+++ b/src/daemon/callrecord.h
@@ -26,6 +26,8 @@
 {
     CallDescription call;
     std::string traceId;
+    // Local time of arrival.
+    TimePoint arrived;
     std::shared_ptr<const HttpRequest> request;
     std::shared_ptr<ServerExchange> exchange;
 
--- a/src/daemon/corerunner.h
+++ b/src/daemon/corerunner.h
@@ -21,6 +21,13 @@
     // Passes the event on. `call` is the call that it concerns, or 0. The actions may be carried out before this returns, or by another
     // thread afterwards.
     void post(const Event &event, CallId call = 0);
+    // Calls the function with the core under its lock. The function must not block.
+    template <typename Function>
+    void inspect(Function function)
+    {
+        const std::lock_guard lock(m_mutex);
+        function(m_core);
+    }
     // Classifier for the configuration in force; null before the first one.
     std::shared_ptr<const RequestClassifier> classifier() const;
 
--- a/src/daemon/localrunner.cpp
+++ b/src/daemon/localrunner.cpp
@@ -42,8 +42,9 @@
 
 } // namespace
 
-LocalRunner::LocalRunner(asio::io_context &context, const HttpClientOptions &server, CallTable &calls, CoreRunner &core, const Clock &clock)
-    : m_client(context, server), m_calls(calls), m_core(core), m_clock(clock)
+LocalRunner::LocalRunner(asio::io_context &context, const HttpClientOptions &server, CallTable &calls, CoreRunner &core, const Clock &clock,
+                         CallStatistics &statistics)
+    : m_client(context, server), m_calls(calls), m_core(core), m_clock(clock), m_statistics(statistics)
 {
 }
 
@@ -79,7 +80,9 @@
     result->headers.remove("wf-load");
     result->headers.remove("wf-refusal");
     const ServerAnswered event{.id = id, .status = static_cast<int>(result->status), .answerBytes = result->body.size()};
+    const std::shared_ptr<CallRecord> record = m_calls.find(id);
     if (m_calls.endAttempt(id, attempt, std::make_shared<HttpResponse>(std::move(*result)))) {
+        m_statistics.served(record->call, m_clock.now() - record->arrived);
         m_core.post(event, id);
     }
 }
--- a/src/daemon/localrunner.h
+++ b/src/daemon/localrunner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/node/action.h"
+#include "daemon/callstatistics.h"
 #include "daemon/calltable.h"
 #include "daemon/corerunner.h"
 #include "net/httpclient.h"
@@ -11,7 +12,8 @@
 class LocalRunner
 {
 public:
-    LocalRunner(asio::io_context &context, const HttpClientOptions &server, CallTable &calls, CoreRunner &core, const Clock &clock);
+    LocalRunner(asio::io_context &context, const HttpClientOptions &server, CallTable &calls, CoreRunner &core, const Clock &clock,
+                CallStatistics &statistics);
 
     void run(const RunLocal &action);
     void cancel(const CancelLocal &action);
@@ -24,6 +26,7 @@
     CallTable &m_calls;
     CoreRunner &m_core;
     const Clock &m_clock;
+    CallStatistics &m_statistics;
 };
 
 } // namespace wisteriafork
--- a/src/daemon/nodeshell.cpp
+++ b/src/daemon/nodeshell.cpp
@@ -46,12 +46,13 @@
     : m_context(context)
     , m_settings(settings)
     , m_log(log)
+    , m_statistics(m_clock)
     , m_core(coreOptions(settings), m_clock, *this)
-    , m_answerer(m_calls)
-    , m_localRunner(context, serverOptions(settings), m_calls, m_core, m_clock)
+    , m_answerer(m_calls, m_statistics, m_clock)
+    , m_localRunner(context, serverOptions(settings), m_calls, m_core, m_clock, m_statistics)
     , m_forwarder(context, peerOptions, settings.name, m_calls, m_core, m_clock)
-    , m_callerReceiver(CallOrigin::Caller, m_calls, m_core, m_clock)
-    , m_localReceiver(CallOrigin::LocalService, m_calls, m_core, m_clock)
+    , m_callerReceiver(CallOrigin::Caller, m_calls, m_core, m_clock, m_statistics)
+    , m_localReceiver(CallOrigin::LocalService, m_calls, m_core, m_clock, m_statistics)
     , m_peerReceiver(m_calls, m_core, m_clock)
 {
     if (settings.platform) {
@@ -193,6 +194,9 @@
 
 void NodeShell::carryOut(const RecordDecision &action)
 {
+    if (action.decision.kind == DecisionKind::Retried) {
+        m_statistics.retried(action.decision.service);
+    }
     m_log.write(action.decision);
 }
 
--- a/src/daemon/nodeshell.h
+++ b/src/daemon/nodeshell.h
@@ -51,6 +51,16 @@
     void start();
     // Ends attempts whose time is up. Called every few tens of milliseconds.
     void sweepDeadlines();
+    CallStatistics &statistics()
+    {
+        return m_statistics;
+    }
+
+    std::size_t openCallCount() const
+    {
+        return m_calls.size();
+    }
+
     // True while calls are not finished.
     bool hasOpenCalls() const;
     // True once the core has said that its drain is complete.
@@ -82,6 +92,7 @@
     EventLog &m_log;
     SteadyClock m_clock;
     CallTable m_calls;
+    CallStatistics m_statistics;
     CoreRunner m_core;
     Answerer m_answerer;
     LocalRunner m_localRunner;
--- a/src/net/callheaders.cpp
+++ b/src/net/callheaders.cpp
@@ -144,7 +144,7 @@
     NumberReader numbers(headers.find("wf-call"));
     ForwardedCall forwarded;
     CallDescription &call = forwarded.call;
-    forwarded.mode = static_cast<ForwardMode>(numbers.next(static_cast<std::uint64_t>(ForwardMode::OwnRedirected)));
+    forwarded.mode = static_cast<ForwardMode>(numbers.next(static_cast<std::uint64_t>(ForwardMode::Execute)));
     call.callClass = static_cast<CallClass>(numbers.next(MaxClass));
     call.internal = numbers.next(1) == 1;
     call.idempotent = numbers.next(1) == 1;
