--- a/src/core/overload/admissioncontroller.cpp
+++ b/src/core/overload/admissioncontroller.cpp
@@ -328,7 +328,7 @@
         const bool isBlocked = operation < blocked.size() && blocked[operation];
         return isBlocked && profile.running > 0 ? queue.countOfOperation(operation) * profile.holdingTime / profile.running : 0.0;
     }
-    return static_cast<double>(queue.countFrom(rank)) / rate;
+    return static_cast<double>(queue.countFrom(std::min(rank, CallRank::Internal))) / rate;
 }
 
 double AdmissionController::Private::capacity() const
--- a/src/core/overload/callqueue.cpp
+++ b/src/core/overload/callqueue.cpp
@@ -58,31 +58,38 @@
 
 std::optional<WaitingCall> CallQueue::pop(const std::vector<bool> &blocked)
 {
-    for (std::size_t index = RankCount; index-- > 0;) {
-        Rank &rank = m_ranks[index];
-        if (rank.size == 0) {
-            continue;
-        }
-        Lane *best = nullptr;
-        std::size_t bestTenant = 0;
-        const Position *bestPosition = nullptr;
-        for (std::size_t tenant = 0; tenant < rank.lanes.size(); ++tenant) {
-            Lane &lane = rank.lanes[tenant];
-            const Position *first = lane.size > 0 ? firstEligible(lane, blocked) : nullptr;
-            if (first != nullptr && (best == nullptr || lane.pass < best->pass)) {
-                best = &lane;
-                bestTenant = tenant;
-                bestPosition = first;
-            }
+    const Head critical = headOf(CallRank::Critical, blocked);
+    const Head internal = headOf(CallRank::Internal, blocked);
+    const bool internalFirst
+        = internal.lane != nullptr && (critical.lane == nullptr || internal.position->order < critical.position->order);
+    Head head = internalFirst ? internal : critical;
+    for (const CallRank rank : {CallRank::Read, CallRank::Bulk}) {
+        if (head.lane == nullptr) {
+            head = headOf(rank, blocked);
         }
-        if (best != nullptr) {
-            rank.pass = best->pass;
-            best->pass += 1.0 / (bestTenant < m_weights.size() ? m_weights[bestTenant] : 1.0);
-            best->round = bestPosition->round;
-            return take(bestPosition->id);
+    }
+    if (head.lane == nullptr) {
+        return std::nullopt;
+    }
+    head.rank->pass = head.lane->pass;
+    head.lane->pass += 1.0 / (head.tenant < m_weights.size() ? m_weights[head.tenant] : 1.0);
+    head.lane->round = head.position->round;
+    return take(head.position->id);
+}
+
+// The call of a rank that is next by the tenants' turns.
+CallQueue::Head CallQueue::headOf(CallRank callRank, const std::vector<bool> &blocked)
+{
+    Rank &rank = m_ranks[static_cast<std::size_t>(callRank)];
+    Head head{.rank = &rank};
+    for (std::size_t tenant = 0; rank.size > 0 && tenant < rank.lanes.size(); ++tenant) {
+        Lane &lane = rank.lanes[tenant];
+        const Position *first = lane.size > 0 ? firstEligible(lane, blocked) : nullptr;
+        if (first != nullptr && (head.lane == nullptr || lane.pass < head.lane->pass)) {
+            head = {.rank = &rank, .lane = &lane, .tenant = tenant, .position = first};
         }
     }
-    return std::nullopt;
+    return head;
 }
 
 bool CallQueue::hasEligible(CallRank least, const std::vector<bool> &blocked) const
--- a/src/core/overload/callqueue.h
+++ b/src/core/overload/callqueue.h
@@ -16,7 +16,8 @@
 
 namespace wisteriafork {
 
-// Importance of a waiting call, in the order of shedding. Internal calls of admitted requests come before fresh reads.
+// Importance of a waiting call, in the order of shedding. Internal calls of admitted reads are shed before critical calls, but both are
+// served in their common order: work was already spent on the requests of internal calls, which a stream of critical calls would starve.
 enum class CallRank : std::uint8_t {
     Bulk = 0,
     Read = 1,
@@ -37,9 +38,9 @@
     TimePoint deadline;
 };
 
-// Waiting calls of one instance. The highest rank comes first; within it tenants take turns by weight (stride scheduling), and within a
-// tenant callers take turns: the n-th waiting call of a caller belongs to round n, and a round is served before the next. The queue order
-// decides within a round.
+// Waiting calls of one instance. Critical and internal calls come first, then reads, then bulk; within a rank tenants take turns by weight
+// (stride scheduling), and within a tenant callers take turns: the n-th waiting call of a caller belongs to round n, and a round is served
+// before the next. The queue order decides within a round.
 class CallQueue
 {
 public:
@@ -93,6 +94,13 @@
         double pass = 0.0;
         std::size_t size = 0;
     };
+    struct Head
+    {
+        Rank *rank = nullptr;
+        Lane *lane = nullptr;
+        std::size_t tenant = 0;
+        const Position *position = nullptr;
+    };
     struct Entry
     {
         WaitingCall call;
@@ -102,6 +110,7 @@
     std::uint64_t assignRound(Lane &lane, std::uint64_t callerHash) const;
     std::int64_t orderValue(const WaitingCall &call);
     const Position *firstEligible(const Lane &lane, const std::vector<bool> &blocked) const;
+    Head headOf(CallRank callRank, const std::vector<bool> &blocked);
     WaitingCall take(CallId id);
 
     QueueOrder m_order;
