--- a/src/core/overload/admissioncontroller.cpp
+++ b/src/core/overload/admissioncontroller.cpp
@@ -392,8 +392,8 @@
     if (!options.deadlineCheckEnabled) {
         return;
     }
-    // The least that any call needs is its own holding time; half the mean leaves room for its spread.
-    const TimePoint latest = clock.now() + fromSeconds(currentHolding() / 2);
+    // A call with less time left than calls take now would most likely fail further below, after work was spent on it.
+    const TimePoint latest = clock.now() + fromSeconds(currentHolding());
     while (const std::optional<WaitingCall> late = queue.takeExpired(latest)) {
         if (late->rank == CallRank::Critical) {
             level.tighten(CriticalOnlyScale);
