--- a/src/core/overload/admissioncontroller.cpp
+++ b/src/core/overload/admissioncontroller.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 // Weight of one call in the mean holding time.
-constexpr double HoldingWeight = 0.15;
+constexpr double HoldingWeight = 0.05;
 // Ratio of holding time to the mean age of running calls. It is 2 for equal times and 1 for exponential ones.
 constexpr double AgeFactor = 1.25;
 // A holding time that was not measured for this long no longer refuses calls, so that one call measures it again.
