--- a/bench/routing/main.cpp
+++ b/bench/routing/main.cpp
@@ -21,6 +21,7 @@
 std::vector<MemberInfo> makeMembers(std::size_t count)
 {
     std::vector<MemberInfo> members;
+    members.reserve(count);
     for (std::size_t index = 0; index < count; ++index) {
         MemberInfo member;
         member.name = NodeId("registar-" + std::to_string(index));
@@ -47,6 +48,7 @@
     Router router({}, DomainId("domain-0"), clock, random);
     const std::vector<MemberInfo> members = makeMembers(instances);
     std::vector<Candidate> candidates;
+    candidates.reserve(members.size());
     for (const MemberInfo &member : members) {
         candidates.push_back({.member = member});
     }
--- a/src/core/overload/admissioncontroller.cpp
+++ b/src/core/overload/admissioncontroller.cpp
@@ -106,7 +106,7 @@
     double startSum = 0.0;
 };
 
-AdmissionController::AdmissionController(AdmissionOptions options, const Clock &clock) : d(std::make_unique<Private>(options, clock))
+AdmissionController::AdmissionController(AdmissionOptions options, const Clock &clock) : m_d(std::make_unique<Private>(options, clock))
 {
 }
 
@@ -116,68 +116,68 @@
 {
     // Index 0 stands for calls of unknown operations and tenants. Indexes are only added, because running calls refer to them.
     for (const OperationConfiguration &operation : service.operations) {
-        const auto [entry, inserted] = d->operationIndexes.emplace(operation.id, d->operations.size());
+        const auto [entry, inserted] = m_d->operationIndexes.emplace(operation.id, m_d->operations.size());
         if (inserted) {
-            d->operations.emplace_back();
-            d->operations.back().id = operation.id;
+            m_d->operations.emplace_back();
+            m_d->operations.back().id = operation.id;
         }
-        OperationProfile &profile = d->operations[entry->second];
+        OperationProfile &profile = m_d->operations[entry->second];
         if (profile.running == 0) {
             profile.dependencies.clear();
             for (const ServiceId &callee : operation.calls) {
-                profile.dependencies.push_back(d->isolation.dependencyIndex(callee));
+                profile.dependencies.push_back(m_d->isolation.dependencyIndex(callee));
             }
         }
     }
     for (const TenantConfiguration &tenant : tenants) {
-        d->tenantIndexes.emplace(tenant.id, d->tenantIndexes.size() + 1);
+        m_d->tenantIndexes.emplace(tenant.id, m_d->tenantIndexes.size() + 1);
     }
-    std::vector<double> weights(d->tenantIndexes.size() + 1, 1.0);
+    std::vector<double> weights(m_d->tenantIndexes.size() + 1, 1.0);
     for (const TenantConfiguration &tenant : tenants) {
-        weights[d->tenantIndexes.at(tenant.id)] = std::max(tenant.weight, 1e-6);
+        weights[m_d->tenantIndexes.at(tenant.id)] = std::max(tenant.weight, 1e-6);
     }
-    d->queue.setTenants(std::move(weights));
-    d->limit.setSlots(service.slots, d->operations.size());
-    d->refreshBlocked();
+    m_d->queue.setTenants(std::move(weights));
+    m_d->limit.setSlots(service.slots, m_d->operations.size());
+    m_d->refreshBlocked();
 }
 
 AdmissionResult AdmissionController::offer(const CallDescription &call)
 {
-    d->updateLevel();
-    return d->decide(call);
+    m_d->updateLevel();
+    return m_d->decide(call);
 }
 
 void AdmissionController::finish(CallId id, CallOutcome outcome, Duration waitedBelow)
 {
-    const auto found = d->running.find(id);
-    if (found == d->running.end()) {
+    const auto found = m_d->running.find(id);
+    if (found == m_d->running.end()) {
         return;
     }
     const Private::RunningCall call = found->second;
-    const Duration held = d->clock.now() - call.started;
-    d->limit.finished(call.operation, std::max(Duration(0), held - waitedBelow), outcome, static_cast<unsigned>(d->running.size()),
-                      call.started);
-    OperationProfile &operation = d->operations[call.operation];
+    const Duration held = m_d->clock.now() - call.started;
+    m_d->limit.finished(call.operation, std::max(Duration(0), held - waitedBelow), outcome, static_cast<unsigned>(m_d->running.size()),
+                        call.started);
+    OperationProfile &operation = m_d->operations[call.operation];
     if (outcome == CallOutcome::Completed || outcome == CallOutcome::TimedOut) {
         const double sample = seconds(held);
         operation.holdingTime += (operation.holdingTime <= 0.0 ? 1.0 : HoldingWeight) * (sample - operation.holdingTime);
-        operation.lastSample = d->clock.now();
-        d->holdingTime += (d->holdingTime <= 0.0 ? 1.0 : HoldingWeight) * (sample - d->holdingTime);
+        operation.lastSample = m_d->clock.now();
+        m_d->holdingTime += (m_d->holdingTime <= 0.0 ? 1.0 : HoldingWeight) * (sample - m_d->holdingTime);
     }
-    d->startSum -= seconds(call.started.time_since_epoch());
-    d->running.erase(found);
+    m_d->startSum -= seconds(call.started.time_since_epoch());
+    m_d->running.erase(found);
     --operation.running;
-    d->isolation.ended(operation);
-    d->refreshBlocked();
+    m_d->isolation.ended(operation);
+    m_d->refreshBlocked();
 }
 
 bool AdmissionController::cancel(CallId id)
 {
-    if (d->queue.remove(id)) {
+    if (m_d->queue.remove(id)) {
         return false;
     }
-    std::erase_if(d->pending, [id](const AdmissionResult &result) { return result.id == id; });
-    if (!d->running.contains(id)) {
+    std::erase_if(m_d->pending, [id](const AdmissionResult &result) { return result.id == id; });
+    if (!m_d->running.contains(id)) {
         return false;
     }
     finish(id, CallOutcome::Cancelled);
@@ -186,49 +186,49 @@
 
 std::vector<AdmissionResult> AdmissionController::poll()
 {
-    d->updateLevel();
-    d->refuseLate();
-    while (d->hasFreeSlot()) {
-        const std::optional<WaitingCall> next = d->queue.pop(d->blocked);
+    m_d->updateLevel();
+    m_d->refuseLate();
+    while (m_d->hasFreeSlot()) {
+        const std::optional<WaitingCall> next = m_d->queue.pop(m_d->blocked);
         if (!next) {
             break;
         }
-        d->start(next->id, next->operation);
-        d->pending.push_back({.id = next->id, .verdict = AdmissionVerdict::Run, .refusal = {}});
+        m_d->start(next->id, next->operation);
+        m_d->pending.push_back({.id = next->id, .verdict = AdmissionVerdict::Run, .refusal = {}});
     }
-    return std::exchange(d->pending, {});
+    return std::exchange(m_d->pending, {});
 }
 
 void AdmissionController::serverLoadRead(std::uint32_t running, std::uint32_t slots)
 {
-    d->limit.hint(running, slots, static_cast<unsigned>(d->running.size()));
+    m_d->limit.hint(running, slots, static_cast<unsigned>(m_d->running.size()));
 }
 
 void AdmissionController::serverRestarted()
 {
-    d->limit.restart();
+    m_d->limit.restart();
 }
 
 LoadReport AdmissionController::report()
 {
-    d->updateLevel();
+    m_d->updateLevel();
     LoadReport load;
-    load.limit = d->limit.limit();
-    load.running = static_cast<std::uint32_t>(d->running.size());
-    load.queued = static_cast<std::uint32_t>(d->queue.size());
-    load.serviceTime = fromSeconds(d->holdingTime);
-    load.level = d->options.levelEnabled ? d->level.nextLevel() : AdmissionLevel{};
+    load.limit = m_d->limit.limit();
+    load.running = static_cast<std::uint32_t>(m_d->running.size());
+    load.queued = static_cast<std::uint32_t>(m_d->queue.size());
+    load.serviceTime = fromSeconds(m_d->holdingTime);
+    load.level = m_d->options.levelEnabled ? m_d->level.nextLevel() : AdmissionLevel{};
     return load;
 }
 
 std::size_t AdmissionController::runningCount() const
 {
-    return d->running.size();
+    return m_d->running.size();
 }
 
 std::size_t AdmissionController::queuedCount() const
 {
-    return d->queue.size();
+    return m_d->queue.size();
 }
 
 std::size_t AdmissionController::Private::operationIndex(const OperationId &id) const
@@ -326,7 +326,8 @@
         // Calls that are held back for isolation wait for calls of their own operation.
         const OperationProfile &profile = operations[operation];
         const bool isBlocked = operation < blocked.size() && blocked[operation];
-        return isBlocked && profile.running > 0 ? queue.countOfOperation(operation) * profile.holdingTime / profile.running : 0.0;
+        const auto waiting = static_cast<double>(queue.countOfOperation(operation));
+        return isBlocked && profile.running > 0 ? waiting * profile.holdingTime / static_cast<double>(profile.running) : 0.0;
     }
     return static_cast<double>(queue.countFrom(std::min(rank, CallRank::Internal))) / rate;
 }
--- a/src/core/overload/admissioncontroller.h
+++ b/src/core/overload/admissioncontroller.h
@@ -57,7 +57,7 @@
 
 private:
     class Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_d;
 };
 
 } // namespace wisteriafork
--- a/src/core/overload/edgegate.cpp
+++ b/src/core/overload/edgegate.cpp
@@ -68,7 +68,7 @@
     RefusedRequests refusedRequests{options.refusedLimit, options.refusedMemory};
 };
 
-EdgeGate::EdgeGate(EdgeGateOptions options, const Clock &clock) : d(std::make_unique<Private>(options, clock))
+EdgeGate::EdgeGate(EdgeGateOptions options, const Clock &clock) : m_d(std::make_unique<Private>(options, clock))
 {
 }
 
@@ -76,23 +76,23 @@
 
 void EdgeGate::configure(std::span<const TenantConfiguration> tenants)
 {
-    d->tenants.assign(tenants.begin(), tenants.end());
+    m_d->tenants.assign(tenants.begin(), tenants.end());
 }
 
 void EdgeGate::classify(CallDescription &call) const
 {
     const bool isRead = !call.internal && call.callClass == CallClass::Read;
-    if (d->options.resendsEnabled && isRead && d->refusedRequests.contains(call.requestHash, d->clock.now())) {
+    if (m_d->options.resendsEnabled && isRead && m_d->refusedRequests.contains(call.requestHash, m_d->clock.now())) {
         call.callClass = CallClass::Bulk;
     }
 }
 
 std::optional<Refusal> EdgeGate::check(const CallDescription &call)
 {
-    const TimePoint now = d->clock.now();
+    const TimePoint now = m_d->clock.now();
     const Path path(call.service, call.operation);
     Duration expected(0);
-    if (const auto known = d->paths.find(path); known != d->paths.end() && now - known->second.timeLearnt < CallTimeMemory) {
+    if (const auto known = m_d->paths.find(path); known != m_d->paths.end() && now - known->second.timeLearnt < CallTimeMemory) {
         // Half the mean: calls spread around it, and only those that certainly cannot finish are refused here.
         expected = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(known->second.callTime / 2));
     }
@@ -102,42 +102,42 @@
     if (call.internal) {
         return std::nullopt;
     }
-    const double scale = d->scaleOf(path);
-    if (d->options.levelsEnabled && !admits(scale, call.callClass, call.requestHash)
-        && !d->takeProbe(d->paths[path].level, d->services[call.service].criticalCut)) {
-        d->refusedRequests.add(call.requestHash, now);
+    const double scale = m_d->scaleOf(path);
+    if (m_d->options.levelsEnabled && !admits(scale, call.callClass, call.requestHash)
+        && !m_d->takeProbe(m_d->paths[path].level, m_d->services[call.service].criticalCut)) {
+        m_d->refusedRequests.add(call.requestHash, now);
         return refused(RefusalReason::Overloaded);
     }
-    if (!d->options.sharesEnabled || call.callClass == CallClass::Critical) {
+    if (!m_d->options.sharesEnabled || call.callClass == CallClass::Critical) {
         return std::nullopt;
     }
-    Private::ServiceState &service = d->services[call.service];
+    Private::ServiceState &service = m_d->services[call.service];
     if (scale < PressureScale) {
         const auto caller = service.callers.find(call.callerHash);
-        if (caller != service.callers.end() && caller->second >= d->options.callerInFlight) {
+        if (caller != service.callers.end() && caller->second >= m_d->options.callerInFlight) {
             return refused(RefusalReason::ShareUsedUp);
         }
-        if (service.shares.isUsedUp(call.tenant, d->tenants, d->options.tenantSlack, now, d->options.shareMemory)) {
+        if (service.shares.isUsedUp(call.tenant, m_d->tenants, m_d->options.tenantSlack, now, m_d->options.shareMemory)) {
             return refused(RefusalReason::ShareUsedUp);
         }
     }
-    service.shares.count(call.tenant, now, d->options.shareMemory);
+    service.shares.count(call.tenant, now, m_d->options.shareMemory);
     return std::nullopt;
 }
 
 std::optional<Refusal> EdgeGate::checkBelow(const CallDescription &call)
 {
-    if (call.internal || !d->options.levelsEnabled) {
+    if (call.internal || !m_d->options.levelsEnabled) {
         return std::nullopt;
     }
-    const auto found = d->below.find(call.operation);
-    if (found == d->below.end()) {
+    const auto found = m_d->below.find(call.operation);
+    if (found == m_d->below.end()) {
         return std::nullopt;
     }
-    const TimePoint now = d->clock.now();
+    const TimePoint now = m_d->clock.now();
     for (auto &entry : found->second) {
         LearntLevel &level = entry.second;
-        if (!admits(level.scale(now, d->options), call.callClass, call.requestHash) && !d->takeProbe(level, d->criticalCutBelow)) {
+        if (!admits(level.scale(now, m_d->options), call.callClass, call.requestHash) && !m_d->takeProbe(level, m_d->criticalCutBelow)) {
             return refused(RefusalReason::Overloaded);
         }
     }
@@ -146,8 +146,8 @@
 
 std::optional<Refusal> EdgeGate::startWaiting(const CallDescription &call)
 {
-    Private::ServiceState &service = d->services[call.service];
-    if (d->options.isolationEnabled && service.waiting >= d->options.waitingLimit) {
+    Private::ServiceState &service = m_d->services[call.service];
+    if (m_d->options.isolationEnabled && service.waiting >= m_d->options.waitingLimit) {
         return refused(RefusalReason::Overloaded);
     }
     ++service.waiting;
@@ -159,7 +159,7 @@
 
 void EdgeGate::stopWaiting(const CallDescription &call)
 {
-    Private::ServiceState &service = d->services[call.service];
+    Private::ServiceState &service = m_d->services[call.service];
     service.waiting -= std::min<std::size_t>(1, service.waiting);
     const auto caller = call.internal ? service.callers.end() : service.callers.find(call.callerHash);
     if (caller != service.callers.end() && --caller->second == 0) {
@@ -169,16 +169,16 @@
 
 void EdgeGate::learn(const CallDescription &call, const OperationId &parent, const LoadReport &report, Duration elapsed, bool answered)
 {
-    const TimePoint now = d->clock.now();
+    const TimePoint now = m_d->clock.now();
     const Path path(call.service, call.operation);
     const double scale = std::min(toScale(report.level), toScale(report.levelBelow));
-    Private::PathState &state = d->paths[path];
-    state.level.learn(scale, now, d->options);
+    Private::PathState &state = m_d->paths[path];
+    state.level.learn(scale, now, m_d->options);
     if (scale < CutsPerClass) {
-        d->services[call.service].criticalCut = now;
+        m_d->services[call.service].criticalCut = now;
     }
     if (!answered && !call.internal) {
-        d->refusedRequests.add(call.requestHash, now);
+        m_d->refusedRequests.add(call.requestHash, now);
     }
     if (answered) {
         const double sample = std::chrono::duration<double>(elapsed).count();
@@ -186,25 +186,25 @@
         state.timeLearnt = now;
     }
     if (!parent.empty()) {
-        d->below[parent][path].learn(scale, now, d->options);
-        d->criticalCutBelow = scale < CutsPerClass ? now : d->criticalCutBelow;
+        m_d->below[parent][path].learn(scale, now, m_d->options);
+        m_d->criticalCutBelow = scale < CutsPerClass ? now : m_d->criticalCutBelow;
     }
 }
 
 AdmissionLevel EdgeGate::levelOf(const ServiceId &service, const OperationId &operation) const
 {
-    return fromScale(d->scaleOf(Path(service, operation)));
+    return fromScale(m_d->scaleOf(Path(service, operation)));
 }
 
 AdmissionLevel EdgeGate::levelBelow(const OperationId &operation) const
 {
-    return fromScale(d->scaleBelow(operation));
+    return fromScale(m_d->scaleBelow(operation));
 }
 
 std::size_t EdgeGate::waitingFor(const ServiceId &service) const
 {
-    const auto found = d->services.find(service);
-    return found == d->services.end() ? 0 : found->second.waiting;
+    const auto found = m_d->services.find(service);
+    return found == m_d->services.end() ? 0 : found->second.waiting;
 }
 
 double EdgeGate::Private::scaleOf(const Path &path) const
--- a/src/core/routing/callattribution.cpp
+++ b/src/core/routing/callattribution.cpp
@@ -30,7 +30,7 @@
     std::unordered_map<CallId, CallId> parents;
 };
 
-CallAttribution::CallAttribution() : d(std::make_unique<Private>())
+CallAttribution::CallAttribution() : m_d(std::make_unique<Private>())
 {
 }
 
@@ -38,35 +38,35 @@
 
 void CallAttribution::started(const CallDescription &call, std::string_view traceId, std::uint32_t expectedCalls)
 {
-    Private::RunningCall &running = d->running[call.id];
+    Private::RunningCall &running = m_d->running[call.id];
     running.call = call;
     running.traceId = std::string(traceId);
     running.surplus = call.attemptsLeft > 0 ? call.attemptsLeft - 1 : 0;
     running.expected = expectedCalls;
     // Two calls of one request may run here at the same time; the later one gets the calls below, and the budget of one of them is unused.
     if (!call.requestId.empty()) {
-        d->byRequest[call.requestId] = call.id;
+        m_d->byRequest[call.requestId] = call.id;
     }
     if (!running.traceId.empty()) {
-        d->byTrace[running.traceId] = call.id;
+        m_d->byTrace[running.traceId] = call.id;
     }
 }
 
 Duration CallAttribution::finished(CallId id, TimePoint now)
 {
-    const auto found = d->running.find(id);
-    if (found == d->running.end()) {
+    const auto found = m_d->running.find(id);
+    if (found == m_d->running.end()) {
         return Duration(0);
     }
     const Private::RunningCall &running = found->second;
     const Duration waited = running.waited + (running.waiting > 0 ? now - running.waitingSince : Duration(0));
-    if (const auto entry = d->byRequest.find(running.call.requestId); entry != d->byRequest.end() && entry->second == id) {
-        d->byRequest.erase(entry);
+    if (const auto entry = m_d->byRequest.find(running.call.requestId); entry != m_d->byRequest.end() && entry->second == id) {
+        m_d->byRequest.erase(entry);
     }
-    if (const auto entry = d->byTrace.find(running.traceId); entry != d->byTrace.end() && entry->second == id) {
-        d->byTrace.erase(entry);
+    if (const auto entry = m_d->byTrace.find(running.traceId); entry != m_d->byTrace.end() && entry->second == id) {
+        m_d->byTrace.erase(entry);
     }
-    d->running.erase(found);
+    m_d->running.erase(found);
     return waited;
 }
 
@@ -74,7 +74,7 @@
 {
     child.origin = CallOrigin::LocalService;
     child.internal = true;
-    Private::RunningCall *parent = d->find(hints);
+    Private::RunningCall *parent = m_d->find(hints);
     if (parent == nullptr) {
         child.attemptsLeft = 1;
         return 0;
@@ -89,31 +89,31 @@
     if (parent->waiting++ == 0) {
         parent->waitingSince = now;
     }
-    d->parents[child.id] = parent->call.id;
+    m_d->parents[child.id] = parent->call.id;
     return parent->call.id;
 }
 
 void CallAttribution::childEnded(CallId child, TimePoint now)
 {
-    const auto found = d->parents.find(child);
-    if (found == d->parents.end()) {
+    const auto found = m_d->parents.find(child);
+    if (found == m_d->parents.end()) {
         return;
     }
-    const auto parent = d->running.find(found->second);
-    if (parent != d->running.end() && --parent->second.waiting == 0) {
+    const auto parent = m_d->running.find(found->second);
+    if (parent != m_d->running.end() && --parent->second.waiting == 0) {
         parent->second.waited += now - parent->second.waitingSince;
     }
-    d->parents.erase(found);
+    m_d->parents.erase(found);
 }
 
 OperationId CallAttribution::parentOperation(CallId child) const
 {
-    const auto found = d->parents.find(child);
-    if (found == d->parents.end()) {
+    const auto found = m_d->parents.find(child);
+    if (found == m_d->parents.end()) {
         return {};
     }
-    const auto parent = d->running.find(found->second);
-    return parent == d->running.end() ? OperationId() : parent->second.call.operation;
+    const auto parent = m_d->running.find(found->second);
+    return parent == m_d->running.end() ? OperationId() : parent->second.call.operation;
 }
 
 CallAttribution::Private::RunningCall *CallAttribution::Private::find(const AttributionHints &hints)
--- a/src/core/routing/router.cpp
+++ b/src/core/routing/router.cpp
@@ -64,7 +64,7 @@
 };
 
 Router::Router(RouterOptions options, DomainId ownDomain, const Clock &clock, RandomEngine &random)
-    : d(std::make_unique<Private>(options, std::move(ownDomain), clock, random))
+    : m_d(std::make_unique<Private>(options, std::move(ownDomain), clock, random))
 {
 }
 
@@ -72,11 +72,11 @@
 
 void Router::update(const ServiceId &service, std::span<const Candidate> candidates)
 {
-    Private::Pool &pool = d->pools[service];
+    Private::Pool &pool = m_d->pools[service];
     Private::Pool next;
     for (const bool local : {true, false}) {
         for (const Candidate &candidate : candidates) {
-            if (candidate.suspected || candidate.leaving || (candidate.member.domain == d->ownDomain) != local) {
+            if (candidate.suspected || candidate.leaving || (candidate.member.domain == m_d->ownDomain) != local) {
                 continue;
             }
             const auto known = pool.indexes.find(candidate.member.name);
@@ -94,19 +94,19 @@
 
 std::optional<RouteChoice> Router::choose(const ServiceId &service, std::span<const NodeId> excluded, const DomainId *avoidDomain)
 {
-    const auto found = d->pools.find(service);
-    if (found == d->pools.end()) {
+    const auto found = m_d->pools.find(service);
+    if (found == m_d->pools.end()) {
         return std::nullopt;
     }
     const Private::Pool &pool = found->second;
     const std::size_t all = pool.instances.size();
-    if (!d->options.sameDomainFirst) {
-        const std::optional<Private::Pick> any = d->pickOfTwo(pool, 0, all, excluded, avoidDomain);
+    if (!m_d->options.sameDomainFirst) {
+        const std::optional<Private::Pick> any = m_d->pickOfTwo(pool, 0, all, excluded, avoidDomain);
         return any ? std::optional(RouteChoice{.node = pool.instances[any->index].name, .reason = RouteReason::LessLoadedOfTwo})
                    : std::nullopt;
     }
-    const std::optional<Private::Pick> near = d->pickOfTwo(pool, 0, pool.local, excluded, avoidDomain);
-    const std::optional<Private::Pick> far = d->pickOfTwo(pool, pool.local, all, excluded, avoidDomain);
+    const std::optional<Private::Pick> near = m_d->pickOfTwo(pool, 0, pool.local, excluded, avoidDomain);
+    const std::optional<Private::Pick> far = m_d->pickOfTwo(pool, pool.local, all, excluded, avoidDomain);
     if (!near && !far) {
         return std::nullopt;
     }
@@ -121,44 +121,44 @@
 
 void Router::sent(const ServiceId &service, const NodeId &node)
 {
-    if (InstanceLoad *instance = d->find(service, node)) {
+    if (InstanceLoad *instance = m_d->find(service, node)) {
         instance->sent();
     }
 }
 
 void Router::answered(const ServiceId &service, const NodeId &node, const LoadReport &report, Duration elapsed)
 {
-    InstanceLoad *instance = d->find(service, node);
+    InstanceLoad *instance = m_d->find(service, node);
     if (instance == nullptr) {
         return;
     }
     // What is left of the time of a call after service and queueing is the link.
-    const double transit = std::max(0.0, seconds(elapsed) - instance->expectedTime(d->clock.now(), d->options.knowledgeHalfLife));
+    const double transit = std::max(0.0, seconds(elapsed) - instance->expectedTime(m_d->clock.now(), m_d->options.knowledgeHalfLife));
     instance->ended();
-    instance->learn(report, d->clock.now());
-    if (instance->domain == d->ownDomain) {
-        d->localTransit += DomainCostWeight * (transit - d->localTransit);
+    instance->learn(report, m_d->clock.now());
+    if (instance->domain == m_d->ownDomain) {
+        m_d->localTransit += DomainCostWeight * (transit - m_d->localTransit);
         return;
     }
-    const auto known = d->domainCosts.emplace(instance->domain, seconds(d->options.assumedDomainCost)).first;
-    const double extra = std::max(0.0, transit - d->localTransit);
+    const auto known = m_d->domainCosts.emplace(instance->domain, seconds(m_d->options.assumedDomainCost)).first;
+    const double extra = std::max(0.0, transit - m_d->localTransit);
     // Service times spread far more than links; one sample moves the estimate by no more than its own size.
     known->second += DomainCostWeight * (std::min(extra, 2 * known->second) - known->second);
-    known->second = std::max(known->second, seconds(d->options.assumedDomainCost) / 4);
+    known->second = std::max(known->second, seconds(m_d->options.assumedDomainCost) / 4);
 }
 
 void Router::failed(const ServiceId &service, const NodeId &node)
 {
-    if (InstanceLoad *instance = d->find(service, node)) {
+    if (InstanceLoad *instance = m_d->find(service, node)) {
         instance->ended();
-        instance->failed(d->clock.now());
+        instance->failed(m_d->clock.now());
     }
 }
 
 void Router::learn(const ServiceId &service, const NodeId &node, const LoadReport &report)
 {
-    if (InstanceLoad *instance = d->find(service, node)) {
-        instance->learn(report, d->clock.now());
+    if (InstanceLoad *instance = m_d->find(service, node)) {
+        instance->learn(report, m_d->clock.now());
     }
 }
 
--- a/src/lab/model/graphspec.cpp
+++ b/src/lab/model/graphspec.cpp
@@ -64,22 +64,22 @@
 
 GraphSpec chainGraph(std::size_t depth)
 {
-    constexpr unsigned BottleneckSlots = 10;
-    constexpr int BottleneckWorkMs = 160;
-    constexpr int WorkMs = 10;
+    constexpr unsigned bottleneckSlots = 10;
+    constexpr int bottleneckWorkMs = 160;
+    constexpr int workMs = 10;
     GraphSpec graph;
     graph.name = "chain-" + std::to_string(depth);
     graph.domains = {"osijek", "vukovar", "pozega", "vinkovci"};
     const char *const ids[] = {"download", "read", "book"};
     for (std::size_t level = 0; level < depth; ++level) {
         const bool last = level + 1 == depth;
-        ServiceSpec service{.id = "level" + std::to_string(level + 1), .slots = BottleneckSlots, .connections = 170, .operations = {}};
+        ServiceSpec service{.id = "level" + std::to_string(level + 1), .slots = bottleneckSlots, .connections = 170, .operations = {}};
         for (std::size_t index = 0; index < 3; ++index) {
             std::vector<CallSpec> calls;
             if (!last) {
                 calls.push_back({.service = level + 1, .operation = index});
             }
-            service.operations.push_back(operation(ids[index], static_cast<CallClass>(index), last ? BottleneckWorkMs : WorkMs, calls));
+            service.operations.push_back(operation(ids[index], static_cast<CallClass>(index), last ? bottleneckWorkMs : workMs, calls));
         }
         graph.services.push_back(service);
     }
@@ -87,8 +87,8 @@
                      {.service = 0, .operation = 1, .share = 0.65},
                      {.service = 0, .operation = 2, .share = 0.2}};
     for (std::size_t level = 0; level + 1 < depth; ++level) {
-        const double perSlot = holdingTime(graph, level, 1) / seconds(std::chrono::milliseconds(BottleneckWorkMs));
-        graph.services[level].slots = static_cast<unsigned>(std::ceil(2.0 * BottleneckSlots * perSlot));
+        const double perSlot = holdingTime(graph, level, 1) / seconds(std::chrono::milliseconds(bottleneckWorkMs));
+        graph.services[level].slots = static_cast<unsigned>(std::ceil(2.0 * bottleneckSlots * perSlot));
         graph.services[level].connections = 8 * graph.services[level].slots;
     }
     return graph;
@@ -99,6 +99,8 @@
     // inspekcija 0, dozrijevanje 1, registar 2, rezervacije 3.
     GraphSpec graph;
     graph.name = "agency";
+    // Longer than in the chains, because the number of events grows with the rate of resends.
+    graph.resendTurnaround = std::chrono::milliseconds(250);
     graph.domains = {"osijek", "vukovar", "pozega", "vinkovci"};
     graph.services = {
         {.id = "inspekcija", .slots = 10, .connections = 170, .operations = {operation("schedule", CallClass::Read, 40)}},
@@ -130,6 +132,7 @@
     // katalog 0, verksted 1, bestilling 2, monster 3.
     GraphSpec graph;
     graph.name = "hagen";
+    graph.resendTurnaround = std::chrono::milliseconds(500);
     graph.domains = {"bryggen", "sandviken", "fana"};
     graph.domainDelay = std::chrono::microseconds(3500);
     graph.callerDelay = std::chrono::milliseconds(8);
