--- a/bench/overload/main.cpp
+++ b/bench/overload/main.cpp
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <future>
+#include <regex>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,7 +36,7 @@
     = "usage: overload_bench [--short] [--jobs N] [--seed N] [--only TEXT] [--check TEXT] [--order fifo|lifo|deadline]\n"
       "                      [--json FILE] [--series DIRECTORY]\n"
       "Runs the overload scenarios in virtual time, prints a table and checks the bounds of the design.\n"
-      "--only selects scenarios, --check bounds, by a part of their names; --order sets the queue order.\n"
+      "--only selects scenarios by a part of their names, --check bounds by a regular expression; --order sets the queue order.\n"
       "Exit status: 0 if all bounds hold, 1 if one does not, 2 on wrong arguments.\n";
 
 bool parse(int argc, char **argv, Arguments &arguments)
@@ -174,7 +175,7 @@
         std::vector<BoundCheck> checks;
         if (!scenarios[index].passThrough) {
             checks = checkBounds(scenarios[index], results[index]);
-            std::erase_if(checks, [&](const BoundCheck &check) { return check.what.find(arguments.check) == std::string::npos; });
+            std::erase_if(checks, [&](const BoundCheck &check) { return !std::regex_search(check.what, std::regex(arguments.check)); });
         }
         for (const BoundCheck &check : checks) {
             if (!check.passed) {
