--- a/bench/ownership/main.cpp
+++ b/bench/ownership/main.cpp
@@ -103,9 +103,9 @@
         }
     }
     ownership.handle(OwnershipTick{});
-    constexpr int Calls = 20'000;
+    constexpr int calls = 20'000;
     const auto begin = std::chrono::steady_clock::now();
-    for (int call = 0; call < Calls; ++call) {
+    for (int call = 0; call < calls; ++call) {
         ownership.handle(KeyedCall{.call = static_cast<CallId>(call),
                                    .key = keyNumber(static_cast<std::uint64_t>(call)),
                                    .retention = std::chrono::seconds(100),
@@ -114,7 +114,7 @@
                                    .arrivedAt = clock.now()});
     }
     const std::chrono::duration<double, std::micro> spent = std::chrono::steady_clock::now() - begin;
-    return spent.count() / Calls;
+    return spent.count() / calls;
 }
 
 } // namespace
--- a/src/core/ownership/joinprocess.cpp
+++ b/src/core/ownership/joinprocess.cpp
@@ -141,6 +141,7 @@
         }
     }
     std::vector<MemberAddress> addresses;
+    addresses.reserve(result.size());
     for (const auto &[id, address] : result) {
         addresses.push_back(address);
     }
--- a/src/core/ownership/ownership.cpp
+++ b/src/core/ownership/ownership.cpp
@@ -22,7 +22,7 @@
 
 } // namespace
 
-Ownership::Ownership(OwnershipOptions options, const Clock &clock) : d(std::make_unique<Private>(std::move(options), clock))
+Ownership::Ownership(OwnershipOptions options, const Clock &clock) : m_d(std::make_unique<Private>(std::move(options), clock))
 {
 }
 
@@ -30,30 +30,30 @@
 
 OwnershipOutputs Ownership::handle(const OwnershipInput &input)
 {
-    d->noticePause();
-    std::visit([this](const auto &value) { d->handle(value); }, input);
-    d->sendClaims(std::holds_alternative<OwnershipTick>(input));
-    return d->takeOutputs();
+    m_d->noticePause();
+    std::visit([this](const auto &value) { m_d->handle(value); }, input);
+    m_d->sendClaims(std::holds_alternative<OwnershipTick>(input));
+    return m_d->takeOutputs();
 }
 
 OwnerStage Ownership::stage() const
 {
-    return d->stage();
+    return m_d->stage();
 }
 
 bool Ownership::excluded() const
 {
-    return d->excluded();
+    return m_d->excluded();
 }
 
 std::size_t Ownership::recordCount() const
 {
-    return d->records().size();
+    return m_d->records().size();
 }
 
 std::size_t Ownership::witnessRecordCount() const
 {
-    return d->witnesses().size();
+    return m_d->witnesses().size();
 }
 
 Ownership::Private::Private(OwnershipOptions options, const Clock &clock)
--- a/src/core/ownership/ownership.h
+++ b/src/core/ownership/ownership.h
@@ -31,7 +31,7 @@
 
 private:
     class Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_d;
 };
 
 } // namespace wisteriafork
--- a/src/core/ownership/ownershiprecords.cpp
+++ b/src/core/ownership/ownershiprecords.cpp
@@ -213,8 +213,6 @@
         }
         switch (record.state) {
         case RecordState::Held:
-            result.push_back(hand(key, record, HandedState::Held));
-            break;
         case RecordState::Running:
             result.push_back(hand(key, record, HandedState::Held));
             break;
--- a/src/core/ownership/ownerview.cpp
+++ b/src/core/ownership/ownerview.cpp
@@ -111,9 +111,9 @@
     if (terms.empty()) {
         return;
     }
-    if (entry.terms.empty() || terms.back().term > entry.terms.back().term) {
-        entry.terms = terms;
-    } else if (terms.back().term == entry.terms.back().term && terms.front().term > entry.terms.front().term) {
+    const bool later = entry.terms.empty() || terms.back().term > entry.terms.back().term;
+    const bool committed = !later && terms.back().term == entry.terms.back().term && terms.front().term > entry.terms.front().term;
+    if (later || committed) {
         entry.terms = terms;
     }
 }
--- a/src/core/ownership/witnesschoice.cpp
+++ b/src/core/ownership/witnesschoice.cpp
@@ -43,6 +43,7 @@
         chosen.push_back(best);
     }
     std::vector<MemberId> result;
+    result.reserve(chosen.size());
     for (const MemberAddress *member : chosen) {
         result.push_back(member->id);
     }
--- a/tests/ownership/fleet.cpp
+++ b/tests/ownership/fleet.cpp
@@ -28,12 +28,12 @@
     m_droppedUntil.assign(count, {});
     m_frozenUntil.assign(count, {});
     m_listed.resize(count);
-    static const std::array<const char *, 3> Domains{"bryggen", "sandviken", "fana"};
+    static const std::array<const char *, 3> domains{"bryggen", "sandviken", "fana"};
     for (int index = 0; index < schedule.nodes; ++index) {
         MemberInfo info;
         info.name = NodeId("verksted-" + std::to_string(index));
         info.service = ServiceId("verksted");
-        info.domain = DomainId(Domains.at(static_cast<std::size_t>(index) % Domains.size()));
+        info.domain = DomainId(domains.at(static_cast<std::size_t>(index) % domains.size()));
         info.peerAddress = "127.0.0.1:" + std::to_string(7100 + index);
         m_nodes.push_back(std::make_unique<SimNode>(*this, index, info, std::chrono::minutes(7 * index)));
     }
