--- a/src/ctl/outcomestext.cpp
+++ b/src/ctl/outcomestext.cpp
@@ -1,6 +1,7 @@
 #include "ctl/outcomestext.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <iomanip>
 #include <ostream>
@@ -19,7 +20,7 @@
     if (value.is_number_integer()) {
         return std::to_string(value.get<std::int64_t>());
     }
-    const auto tenths = static_cast<std::int64_t>(value.get<double>() * 10 + 0.5);
+    const auto tenths = std::llround(value.get<double>() * 10);
     return std::to_string(tenths / 10) + "." + std::to_string(tenths % 10);
 }
 
--- a/src/observability/eventlog.cpp
+++ b/src/observability/eventlog.cpp
@@ -177,8 +177,11 @@
     }
     std::string line;
     for (const auto &[name, value] : members) {
-        line += format == LogFormat::Json ? (line.empty() ? "{\"" : ",\"") + name + "\":" + value
-                                          : (line.empty() ? "" : " ") + name + "=" + value;
+        if (format == LogFormat::Json) {
+            line.append(line.empty() ? "{\"" : ",\"").append(name).append("\":").append(value);
+        } else {
+            line.append(line.empty() ? "" : " ").append(name).append("=").append(value);
+        }
     }
     return format == LogFormat::Json ? line + "}" : line;
 }
--- a/src/observability/metrics.cpp
+++ b/src/observability/metrics.cpp
@@ -64,7 +64,9 @@
     std::string text;
     auto value = values.begin();
     for (const std::string_view name : description.labels) {
-        text += (text.empty() ? "" : ",") + std::string(name) + "=\"";
+        text += text.empty() ? "" : ",";
+        text += name;
+        text += "=\"";
         text += value != values.end() ? escapeLabel(*value++) : std::string();
         text += "\"";
     }
--- a/tests/admin/adminhandler_test.cpp
+++ b/tests/admin/adminhandler_test.cpp
@@ -29,6 +29,11 @@
         || (type == "object" && value.is_object()) || (type == "array" && value.is_array());
 }
 
+std::string inside(std::string place, const std::string &name)
+{
+    return place.append("/").append(name);
+}
+
 // First place where a value differs from a schema; empty if there is none. Knows the keywords that openapi.json uses.
 std::string mismatch(const json &value, const json &schema, const std::string &place = "")
 {
@@ -51,22 +56,22 @@
     }
     for (const std::string name : schema.value("required", json::array())) {
         if (!value.contains(name)) {
-            return place + "/" + name + " is missing";
+            return inside(place, name) + " is missing";
         }
     }
     static const json none = json::object();
     for (const auto &[name, member] : (value.is_object() ? value : none).items()) {
         if (schema.contains("properties") && schema["properties"].contains(name)) {
-            const std::string inner = mismatch(member, schema["properties"][name], place + "/" + name);
+            std::string inner = mismatch(member, schema["properties"][name], inside(place, name));
             if (!inner.empty()) {
                 return inner;
             }
         } else if (!schema.value("additionalProperties", true)) {
-            return place + "/" + name + " is not in the schema";
+            return inside(place, name) + " is not in the schema";
         }
     }
     for (std::size_t index = 0; value.is_array() && schema.contains("items") && index < value.size(); ++index) {
-        const std::string inner = mismatch(value[index], schema["items"], place + "/" + std::to_string(index));
+        std::string inner = mismatch(value[index], schema["items"], inside(place, std::to_string(index)));
         if (!inner.empty()) {
             return inner;
         }
--- a/tests/admin/adminserver_test.cpp
+++ b/tests/admin/adminserver_test.cpp
@@ -130,7 +130,7 @@
     expectStatus(413, exchange(server, post + "Content-Length: 1001\r\n\r\n" + std::string(1001, 'x')));
     expectStatus(413, exchange(server, post + "Transfer-Encoding: chunked\r\n\r\n7d0\r\n" + std::string(2000, 'x') + "\r\n0\r\n\r\n"));
     expectStatus(431, exchange(server, "GET /v1/status HTTP/1.1\r\nX: " + std::string(3000, 'x') + "\r\n\r\n"));
-    expectStatus(400, exchange(server, std::string("\x16\x03\x01 binary \0 text\r\n\r\n", 22)));
+    expectStatus(400, exchange(server, std::string("\x16\x03\x01 binary \0 text\r\n\r\n", 21)));
     expectStatus(400, exchange(server, "GET /v1/status HTTP/9.9\r\n\r\n"));
     STRCMP_EQUAL("", exchange(server, post + "Content-Length: 900\r\n\r\nshort").c_str());
     const std::string invalid = exchange(server, post + "Content-Length: 7\r\nConnection: close\r\n\r\n{\"a\": [");
--- a/tests/ctl/ctl_test.cpp
+++ b/tests/ctl/ctl_test.cpp
@@ -43,6 +43,7 @@
     {
         arguments.insert(arguments.begin(), "wisteriaforkctl");
         std::vector<char *> raw;
+        raw.reserve(arguments.size() + 1);
         for (std::string &argument : arguments) {
             raw.push_back(argument.data());
         }
--- a/tests/observability/eventlog_test.cpp
+++ b/tests/observability/eventlog_test.cpp
@@ -174,11 +174,11 @@
 // Guards against lines of several workers that run into each other, and against lines that are lost at the end.
 TEST(EventLog, keepsLinesOfSeveralThreadsWhole)
 {
-    constexpr int Lines = 200;
+    constexpr int count = 200;
     for (const bool background : {false, true}) {
         m_output.str("");
-        writeFromFourThreads(Lines, background, m_output);
-        LONGS_EQUAL(4 * Lines, lines().size());
+        writeFromFourThreads(count, background, m_output);
+        LONGS_EQUAL(4 * count, lines().size());
         for (const std::string &line : lines()) {
             CHECK(nlohmann::json::accept(line));
         }
