Bound the work for hostile questionnaires

A reader may send a questionnaire to the dry run, so its check must not take memory with the square of the text: a member name of 500 KB above 100,000 values gave as many pointers of that length, and thousands of services with one path gave a finding for each pair. Pointers are bounded in total length, findings in number, and each path is reported once. An overload that ends in a silence of more than a minute ends with its first empty second.

--- a/src/core/config/locatedjson.cpp
+++ b/src/core/config/locatedjson.cpp
@@ -10,6 +10,11 @@
 
 constexpr std::size_t MaximumDepth = 32;
 
+// Bound on the total length of all pointers, as a multiple of the text. A long name with many values below it would otherwise take the
+// square of the length of the text. Lists of one-digit numbers need about 12.
+constexpr std::size_t PointerBytesPerByte = 32;
+constexpr std::size_t PointerBytesAtLeast = 65'536;
+
 struct Position
 {
     unsigned line = 1;
@@ -62,8 +67,11 @@
 class LocatingHandler : public nlohmann::json_sax<nlohmann::json>
 {
 public:
-    LocatingHandler(const Position &position, LocatedJson &document, Findings &findings)
-        : m_position(position), m_document(document), m_findings(findings)
+    LocatingHandler(const Position &position, std::size_t textBytes, LocatedJson &document, Findings &findings)
+        : m_position(position)
+        , m_pointerBytesLeft(textBytes * PointerBytesPerByte + PointerBytesAtLeast)
+        , m_document(document)
+        , m_findings(findings)
     {
     }
 
@@ -166,10 +174,20 @@
     template <typename Value>
     bool add(Value &&value)
     {
-        place(nlohmann::json(std::forward<Value>(value)));
+        return place(nlohmann::json(std::forward<Value>(value))).first != nullptr;
+    }
+
+    bool takePointer(const std::string &pointer)
+    {
+        if (pointer.size() > m_pointerBytesLeft) {
+            report("", currentLine(), "names are too long for the number of values below them");
+            return false;
+        }
+        m_pointerBytesLeft -= pointer.size();
         return true;
     }
 
+    // Adds a value to the innermost open one. Gives the added value and its pointer; null if a bound is reached.
     std::pair<nlohmann::json *, std::string> place(nlohmann::json value)
     {
         if (m_open.empty()) {
@@ -180,11 +198,17 @@
         Level &level = m_open.back();
         if (level.value->is_array()) {
             std::string pointer = childPointer(level.pointer, level.value->size());
+            if (!takePointer(pointer)) {
+                return {nullptr, ""};
+            }
             m_document.lines.emplace(pointer, currentLine());
             level.value->push_back(std::move(value));
             return {&level.value->back(), std::move(pointer)};
         }
         std::string pointer = childPointer(level.pointer, level.name);
+        if (!takePointer(pointer)) {
+            return {nullptr, ""};
+        }
         m_document.lines.emplace(pointer, level.nameLine);
         nlohmann::json &slot = (*level.value)[level.name];
         slot = std::move(value);
@@ -198,11 +222,15 @@
             return false;
         }
         auto [slot, pointer] = place(std::move(value));
+        if (slot == nullptr) {
+            return false;
+        }
         m_open.push_back({.value = slot, .pointer = std::move(pointer), .name = {}, .nameLine = 0});
         return true;
     }
 
     const Position &m_position;
+    std::size_t m_pointerBytesLeft;
     LocatedJson &m_document;
     Findings &m_findings;
     std::vector<Level> m_open;
@@ -238,7 +266,7 @@
     }
     Position position;
     LocatedJson document;
-    LocatingHandler handler(position, document, findings);
+    LocatingHandler handler(position, text.size(), document, findings);
     const CountingIterator first(text.data(), &position);
     const CountingIterator last(text.data() + text.size(), &position);
     const bool complete = nlohmann::json::sax_parse(first, last, &handler);
--- a/src/core/config/objectreader.cpp
+++ b/src/core/config/objectreader.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// Bounds the memory that a hostile text can take: a list of a million wrong elements would give as many findings.
+constexpr std::size_t MostFindings = 10'000;
+
 std::string formatNumber(double value)
 {
     std::ostringstream text;
@@ -24,6 +27,14 @@
 
 void addFinding(Findings &findings, const LocatedJson &document, Severity severity, std::string pointer, std::string message)
 {
+    if (findings.size() >= MostFindings) {
+        return;
+    }
+    if (findings.size() + 1 == MostFindings) {
+        // An error, because an error may be among those that are left out.
+        findings.push_back({.severity = Severity::Error, .pointer = "", .line = 0, .message = "too many findings; the rest is left out"});
+        return;
+    }
     const unsigned line = document.lineOf(pointer);
     findings.push_back({.severity = severity, .pointer = std::move(pointer), .line = line, .message = std::move(message)});
 }
--- a/src/core/config/questionnairerules.cpp
+++ b/src/core/config/questionnairerules.cpp
@@ -109,12 +109,17 @@
         }
         std::stable_sort(ordered.begin(), ordered.end(),
                          [](const ServiceAnswers *first, const ServiceAnswers *second) { return first->pathPrefix < second->pathPrefix; });
-        for (std::size_t outer = 0; outer < ordered.size(); ++outer) {
-            for (std::size_t inner = outer + 1;
-                 inner < ordered.size() && ordered[inner]->pathPrefix.starts_with(ordered[outer]->pathPrefix); ++inner) {
-                error(ordered[inner]->pointer + "/pathPrefix",
-                      "overlaps with the path prefix \"" + ordered[outer]->pathPrefix + "\" of the service \"" + ordered[outer]->id + "\"");
+        // Prefixes of the current path, the longest last. Each path is reported once, so that there are no more findings than services.
+        std::vector<const ServiceAnswers *> open;
+        for (const ServiceAnswers *service : ordered) {
+            while (!open.empty() && !service->pathPrefix.starts_with(open.back()->pathPrefix)) {
+                open.pop_back();
             }
+            if (!open.empty()) {
+                error(service->pointer + "/pathPrefix",
+                      "overlaps with the path prefix \"" + open.back()->pathPrefix + "\" of the service \"" + open.back()->id + "\"");
+            }
+            open.push_back(service);
         }
     }
 
@@ -153,13 +158,16 @@
         std::stable_sort(ordered.begin(), ordered.end(), [](const OperationAnswers *first, const OperationAnswers *second) {
             return std::tie(first->method, first->pathPrefix) < std::tie(second->method, second->pathPrefix);
         });
-        for (std::size_t outer = 0; outer < ordered.size(); ++outer) {
-            const OperationAnswers &shorter = *ordered[outer];
-            for (std::size_t inner = outer + 1; inner < ordered.size() && ordered[inner]->method == shorter.method
-                 && ordered[inner]->pathPrefix.starts_with(shorter.pathPrefix);
-                 ++inner) {
-                checkOverlap(shorter, *ordered[inner]);
+        std::vector<const OperationAnswers *> open;
+        for (const OperationAnswers *operation : ordered) {
+            while (!open.empty()
+                   && (open.back()->method != operation->method || !operation->pathPrefix.starts_with(open.back()->pathPrefix))) {
+                open.pop_back();
+            }
+            if (!open.empty()) {
+                checkOverlap(*open.back(), *operation);
             }
+            open.push_back(operation);
         }
     }
 
--- a/src/observability/overloadtracker.cpp
+++ b/src/observability/overloadtracker.cpp
@@ -65,6 +65,7 @@
     // After a long silence the seconds in between are all empty and equal, so only as many are closed as can end an overload.
     if (second > m_current.number + SettledSeconds + 1) {
         close(m_current);
+        close({.number = m_current.number + 1});
         m_current = {.number = second - SettledSeconds - 1};
     }
     while (m_current.number < second) {
--- a/tests/config/questionnaire_test.cpp
+++ b/tests/config/questionnaire_test.cpp
@@ -234,6 +234,26 @@
     CHECK_FALSE(chooseVersion(0, {}).has_value());
 }
 
+// Guards against a text whose check takes memory or time that grows with the square of its size.
+TEST(Questionnaire, boundsTheWorkForHostileText)
+{
+    json services = json::array();
+    for (int count = 0; count < 3000; ++count) {
+        services.push_back({{"id", "s" + std::to_string(count)}, {"pathPrefix", "/same/"}});
+    }
+    const QuestionnaireCheck overlaps = checkQuestionnaire(json{{"services", services}}.dump());
+    CHECK_FALSE(overlaps.questionnaire.has_value());
+    LONGS_EQUAL(1000, overlaps.findings.size());
+
+    std::string wide = "{\"" + std::string(500'000, 'n') + "\": [0";
+    for (int count = 0; count < 100'000; ++count) {
+        wide += ",0";
+    }
+    const QuestionnaireCheck longName = checkQuestionnaire(wide + "]}");
+    LONGS_EQUAL(1, longName.findings.size());
+    STRCMP_EQUAL("names are too long for the number of values below them", longName.findings[0].message.c_str());
+}
+
 // Guards against damaged or hostile text that crashes the check or yields a configuration in spite of errors.
 TEST(Questionnaire, mutatedTextNeverCrashesAndNeverPassesWithErrors)
 {
