Keep a valid questionnaire with very many warnings valid

The note about findings that are not shown was always an error, so a questionnaire with more than 1000 warnings and no error gave no configuration and no reason. The test fails without the change by construction: it expects only warnings.

--- a/src/core/config/questionnairecheck.cpp
+++ b/src/core/config/questionnairecheck.cpp
@@ -17,9 +17,11 @@
         return;
     }
     const std::size_t omitted = findings.size() - MostFindings + 1;
+    // An error only if one is left out or shown; a valid questionnaire stays valid.
+    const Severity severity = hasErrors(findings) ? Severity::Error : Severity::Warning;
     findings.resize(MostFindings - 1);
     findings.push_back(
-        {.severity = Severity::Error, .pointer = "", .line = 0, .message = std::to_string(omitted) + " further findings are not shown"});
+        {.severity = severity, .pointer = "", .line = 0, .message = std::to_string(omitted) + " further findings are not shown"});
 }
 
 } // namespace
--- a/tests/config/questionnaire_test.cpp
+++ b/tests/config/questionnaire_test.cpp
@@ -245,6 +245,20 @@
     CHECK_FALSE(overlaps.questionnaire.has_value());
     LONGS_EQUAL(1000, overlaps.findings.size());
 
+    json warned = validAnswers();
+    const json read = warned["services"][0]["operations"][1];
+    for (int count = 0; count < 1500; ++count) {
+        json &operations = warned["services"][0]["operations"];
+        operations.push_back(read);
+        operations.back()["id"] = "r" + std::to_string(count);
+        operations.back()["pathPrefix"] = "/a/x" + std::to_string(count) + "/";
+        operations.back()["importance"] = "high";
+    }
+    const QuestionnaireCheck onlyWarnings = checkQuestionnaire(warned.dump());
+    CHECK(onlyWarnings.questionnaire.has_value());
+    LONGS_EQUAL(1000, onlyWarnings.findings.size());
+    CHECK_FALSE(hasErrors(onlyWarnings.findings));
+
     std::string wide = "{\"" + std::string(500'000, 'n') + "\": [0";
     for (int count = 0; count < 100'000; ++count) {
         wide += ",0";
