--- a/src/core/distribution/distribution.cpp
+++ b/src/core/distribution/distribution.cpp
@@ -93,6 +93,11 @@
     return d->election.isReading();
 }
 
+const VersionStamp &Distribution::inForce() const
+{
+    return d->slices.inForce();
+}
+
 DistributionStatus Distribution::status() const
 {
     return {.inForce = d->slices.inForce(),
--- a/src/core/distribution/distribution.h
+++ b/src/core/distribution/distribution.h
@@ -45,6 +45,8 @@
     bool isReady() const;
     // True while this node watches the configuration service for its failure domain.
     bool isReading() const;
+    // Configuration version in force; zero before the first.
+    const VersionStamp &inForce() const;
     DistributionStatus status() const;
 
 private:
--- a/src/core/distribution/distributionindexes.cpp
+++ b/src/core/distribution/distributionindexes.cpp
@@ -14,6 +14,8 @@
 namespace {
 // A delta with more changes is announced by a digest, and each receiver pulls it once.
 constexpr std::size_t PushedChanges = 16;
+// Time for the values of a new index to arrive before a starting node reads the index again.
+constexpr Duration RereadDelay = std::chrono::seconds(10);
 constexpr Duration PullWait = std::chrono::milliseconds(500);
 constexpr const char *ServiceName = "configuration service";
 } // namespace
@@ -58,6 +60,7 @@
     return {.sender = membership.self(),
             .configuration = families.at(0).index.stamp(),
             .hosts = families.at(1).index.stamp(),
+            .inForce = slices.inForce(),
             .readers = withReaders ? election.beacons() : std::vector<ReaderBeacon>()};
 }
 
@@ -88,6 +91,11 @@
     Family &held = family(which);
     held.from = std::move(from);
     held.pullUntil = {};
+    held.nextRead = std::max(held.nextRead, clock.now() + RereadDelay + randomPart(options.blindReadWindow));
+    if (which == ValueFamily::Configuration) {
+        // The older version was a way round the one held back; nodes do not keep it once they have a newer one.
+        fallback.reset();
+    }
     if (!held.pushFrom) {
         held.pushFrom = before;
     }
--- a/src/core/distribution/distributionmessages.cpp
+++ b/src/core/distribution/distributionmessages.cpp
@@ -21,6 +21,11 @@
     }
     if (message.answers >= FirstQuestion && !ready) {
         gate.noteAnswer(from);
+        if (message.sender.service == membership.self().service && message.inForce > bestInForce) {
+            bestInForce = message.inForce;
+            bestSource = message.sender;
+            bestAt = now;
+        }
         for (const auto &[which, stamp] :
              {std::pair(ValueFamily::Configuration, message.configuration), std::pair(ValueFamily::Hosts, message.hosts)}) {
             if (stamp > family(which).seen) {
@@ -70,8 +75,9 @@
 void Distribution::Private::receive(const NodeId &from, const ValuePull &message)
 {
     const ValueKey key{.family = message.family, .service = message.wanted.service};
-    if (const SliceSet::Text text = textFor(message.family, message.wanted)) {
-        if (send(from, message.replyTo, ValueReply{.family = message.family, .value = message.wanted, .text = *text})) {
+    ValueReply reply = replyFor(message.family, message.wanted);
+    if (!reply.text.empty()) {
+        if (send(from, message.replyTo, std::move(reply))) {
             return;
         }
     } else if (const IndexEntry *wanted = fetcher.wanted(key); wanted != nullptr && *wanted == message.wanted) {
@@ -94,7 +100,9 @@
     if (wanted == nullptr) {
         return;
     }
-    if (message.text.empty()) {
+    // The `hosts` index gives no hash, so a list that was damaged on the way is told from an invalid one by the hash of the sender.
+    const bool damaged = hash64(message.text) != message.value.hash && options.mechanisms.hashCheck;
+    if (message.text.empty() || damaged) {
         fetcher.noteMiss(key, clock.now());
     } else {
         valueArrived(key, IndexEntry(*wanted), message.text, false);
@@ -116,7 +124,7 @@
 void Distribution::Private::receive(const NodeId & /*from*/, const InForceReply &message)
 {
     const bool older = message.stamp < family(ValueFamily::Configuration).index.stamp();
-    if (ready || slices.inForce().version != 0 || !older || (fallback && message.stamp <= fallback->stamp())) {
+    if (ready || message.stamp <= slices.inForce() || !older || (fallback && message.stamp <= fallback->stamp())) {
         return;
     }
     fallback.emplace(ValueFamily::Configuration, options.history);
--- a/src/core/distribution/distributionprivate.h
+++ b/src/core/distribution/distributionprivate.h
@@ -70,7 +70,8 @@
     void valueArrived(const ValueKey &key, const IndexEntry &entry, std::string text, bool fromService);
     bool sliceArrived(const ValueKey &key, std::string text);
     bool hostListArrived(const ValueKey &key, const IndexEntry &entry, const std::string &text);
-    SliceSet::Text textFor(ValueFamily which, const IndexEntry &wanted) const;
+    // The value if it is here; its text is empty otherwise. `hash` is that of the text.
+    ValueReply replyFor(ValueFamily which, const IndexEntry &wanted) const;
     void answerWaiters(const ValueKey &key);
     // Index that is to come in force next.
     const ValueIndex &target() const;
@@ -117,6 +118,10 @@
     // The older version that a peer has in force, while this node starts and the newest is held back.
     std::optional<ValueIndex> fallback;
     TimePoint nextFallback{};
+    // Newest version that a member of the own service reported in force while this node starts, and who did.
+    VersionStamp bestInForce;
+    Introduction bestSource;
+    TimePoint bestAt{};
     // Newest index that was held back because of an invalid slice.
     VersionStamp heldStamp;
     // Since when all needed values of the newest indexes are here.
--- a/src/core/distribution/distributiontimers.cpp
+++ b/src/core/distribution/distributiontimers.cpp
@@ -11,7 +11,7 @@
 namespace {
 constexpr std::size_t BeaconFanout = 3;
 constexpr unsigned MaxBackoffDoublings = 6;
-constexpr Duration FallbackInterval = std::chrono::seconds(1);
+constexpr Duration FallbackInterval = std::chrono::milliseconds(500);
 // The membership has applied the lists by then, so that all members of the own service are asked.
 constexpr Duration ListSettleTime = std::chrono::milliseconds(250);
 } // namespace
@@ -63,16 +63,9 @@
 void Distribution::Private::askForInForce(TimePoint now)
 {
     const VersionStamp &known = family(ValueFamily::Configuration).index.stamp();
-    if (slices.inForce().version != 0 || known.version == 0 || heldStamp != known || now < nextFallback) {
-        return;
-    }
-    nextFallback = now + FallbackInterval;
-    const ServiceView own = membership.view(membership.self().service);
-    if (own.usable > 0) {
-        const Candidate &peer = own.all[std::uniform_int_distribution<std::size_t>(0, own.usable - 1)(random)];
-        if (peer.name != membership.self().name) {
-            send(peer.name, peer.peerAddress, InForcePull{.replyTo = membership.self().address});
-        }
+    if (slices.inForce() < bestInForce && known.version != 0 && heldStamp == known && now >= nextFallback) {
+        nextFallback = now + FallbackInterval;
+        send(bestSource.name, bestSource.address, InForcePull{.replyTo = membership.self().address});
     }
 }
 
@@ -80,7 +73,8 @@
 {
     for (const ValueFamily which : {ValueFamily::Configuration, ValueFamily::Hosts}) {
         Family &held = family(which);
-        if (held.index.stamp().version != 0 || now < held.nextRead || !takeRead(now)) {
+        // Also after the first index: its values may no longer be published or may be held back, and no node watches before one is ready.
+        if (now < held.nextRead || !takeRead(now)) {
             continue;
         }
         const Duration delay = std::min(options.blindReadWindow * (1U << std::min(held.reads, MaxBackoffDoublings)), options.maxReadDelay);
@@ -181,9 +175,10 @@
     const bool nobody = membership.peers().empty() && membership.seeds().empty();
     const bool asked
         = gate.isDone() && now - completeSince >= ListSettleTime && (gate.hasAnswer() || nobody || now - started >= options.startPatience);
-    const bool newest = std::all_of(families.begin(), families.end(), [&](const Family &held) {
-        return held.index.stamp() >= held.seen || now - held.seenAt > options.startPatience;
-    });
+    const bool best = slices.inForce() >= bestInForce || now - bestAt > options.startPatience;
+    const bool newest = best && std::all_of(families.begin(), families.end(), [&](const Family &held) {
+                            return held.index.stamp() >= held.seen || now - held.seenAt > options.startPatience;
+                        });
     if ((asked && newest) || !options.mechanisms.askPeersAtStart) {
         ready = true;
         outputs.emplace_back(BecameReady{});
--- a/src/core/distribution/distributionvalues.cpp
+++ b/src/core/distribution/distributionvalues.cpp
@@ -61,13 +61,18 @@
     return false;
 }
 
-SliceSet::Text Distribution::Private::textFor(ValueFamily which, const IndexEntry &wanted) const
+ValueReply Distribution::Private::replyFor(ValueFamily which, const IndexEntry &wanted) const
 {
+    ValueReply reply{.family = which, .value = wanted, .text = {}};
     if (which == ValueFamily::Configuration) {
-        return slices.find(wanted.service, wanted.hash);
-    }
-    const HostListSet::Entry *entry = lists.find(wanted.service);
-    return entry != nullptr && entry->stamp.version >= wanted.version ? entry->text : nullptr;
+        const SliceSet::Text text = slices.find(wanted.service, wanted.hash);
+        reply.text = text != nullptr ? *text : std::string();
+    } else if (const HostListSet::Entry *entry = lists.find(wanted.service); entry != nullptr && entry->stamp.version >= wanted.version) {
+        reply.value.version = entry->stamp.version;
+        reply.value.hash = entry->stamp.hash;
+        reply.text = *entry->text;
+    }
+    return reply;
 }
 
 void Distribution::Private::answerWaiters(const ValueKey &key)
@@ -79,8 +84,9 @@
     const std::vector<Waiter> waiting = std::move(found->second);
     waiters.erase(found);
     for (const Waiter &waiter : waiting) {
-        if (const SliceSet::Text text = textFor(key.family, waiter.entry)) {
-            send(waiter.name, waiter.address, ValueReply{.family = key.family, .value = waiter.entry, .text = *text});
+        ValueReply reply = replyFor(key.family, waiter.entry);
+        if (!reply.text.empty()) {
+            send(waiter.name, waiter.address, std::move(reply));
         }
     }
 }
--- a/src/core/distribution/valuefetcher.cpp
+++ b/src/core/distribution/valuefetcher.cpp
@@ -15,11 +15,13 @@
 constexpr Duration MissDelay = std::chrono::milliseconds(100);
 constexpr Duration MaxMissDelay = std::chrono::seconds(2);
 constexpr Duration ServiceDelay = std::chrono::milliseconds(500);
-// Attempts at peers before the configuration service is read, by part. With the delays above, 8 attempts take about 3 s.
-constexpr unsigned MemberAttempts = 6;
-constexpr unsigned FirstCallerAttempts = 5;
-constexpr unsigned CallerAttempts = 8;
-constexpr unsigned StartAttempts = 2;
+// Time for which others are asked before the configuration service is read, by part in getting the value. The spread keeps the many who
+// have no part from reading together.
+constexpr Duration StartPatience = std::chrono::milliseconds(300);
+constexpr Duration FirstCallerPatience = std::chrono::seconds(2);
+constexpr Duration MemberPatience = std::chrono::seconds(3);
+constexpr Duration CallerPatience = std::chrono::seconds(4);
+constexpr Duration PatienceSpread = std::chrono::seconds(2);
 constexpr unsigned MaxBackoffDoublings = 6;
 
 RequestKey rankKey(const ValueKey &key)
@@ -44,7 +46,8 @@
     for (const IndexEntry &entry : missing) {
         Want &want = m_wants[{.family = family, .service = entry.service}];
         if (want.entry != entry) {
-            want = {.entry = entry, .due = now, .serviceDue = now, .asked = {}};
+            want = {.entry = entry, .due = now, .serviceDue = now, .asked = {}, .since = now};
+            want.spread = std::uniform_real_distribution<double>(0, 1)(m_random);
         }
     }
 }
@@ -73,9 +76,8 @@
 std::optional<ValueFetcher::Request> ValueFetcher::choose(const ValueKey &key, Want &want, TimePoint now, bool ready)
 {
     const Role role = roleFor(key);
-    const unsigned before = attemptsBeforeService(role, ready);
-    const bool serviceTurn = want.attempts >= before && (want.attempts - before) % 2 == 0;
-    std::optional<Request> request = serviceTurn && want.serviceDue <= now ? std::nullopt : choosePeer(key, want, role);
+    const bool serviceTurn = now - want.since >= patience(key.family, want, role, ready) && want.serviceDue <= now;
+    std::optional<Request> request = serviceTurn ? std::nullopt : choosePeer(key, want, role);
     if (!request && want.serviceDue <= now) {
         request = Request{.key = key, .entry = want.entry, .to = {}, .address = {}};
         want.serviceDue = now + ServiceDelay;
@@ -91,8 +93,9 @@
 {
     const Introduction &self = m_membership.self();
     const RequestKey rank = rankKey(key);
-    Role role{.member = key.service == self.service, .rank = 0};
-    for (const Candidate &candidate : m_membership.view(self.service).all) {
+    const std::span<const Candidate> own = m_membership.view(self.service).all;
+    Role role{.member = key.service == self.service, .unknown = own.empty(), .rank = 0};
+    for (const Candidate &candidate : own) {
         if (candidate.name != self.name && !candidate.suspected && outranks(rank, candidate.name, self.name)) {
             ++role.rank;
         }
@@ -100,15 +103,25 @@
     return role;
 }
 
-unsigned ValueFetcher::attemptsBeforeService(const Role &role, bool ready) const
+Duration ValueFetcher::patience(ValueFamily family, const Want &want, const Role &role, bool ready) const
 {
+    const auto spread = [&](Duration whole) {
+        return std::chrono::duration_cast<Duration>(whole * want.spread);
+    };
+    if (role.unknown && role.member && family == ValueFamily::Hosts) {
+        return StartPatience + spread(m_options.blindReadWindow);
+    }
+    if (role.unknown) {
+        // The own list comes first; it tells who is to read the other values.
+        return 2 * CallerPatience + spread(m_options.blindReadWindow);
+    }
     if (role.member && role.rank < Readers) {
-        return ready ? 0 : StartAttempts;
+        return ready ? Duration{0} : StartPatience;
     }
     if (role.member) {
-        return MemberAttempts;
+        return MemberPatience + spread(PatienceSpread);
     }
-    return role.rank < Readers ? FirstCallerAttempts : CallerAttempts;
+    return role.rank < Readers ? FirstCallerPatience + spread(PatienceSpread) : CallerPatience + spread(2 * PatienceSpread);
 }
 
 std::optional<ValueFetcher::Request> ValueFetcher::choosePeer(const ValueKey &key, const Want &want, const Role &role)
--- a/src/core/distribution/valuefetcher.h
+++ b/src/core/distribution/valuefetcher.h
@@ -58,16 +58,22 @@
         TimePoint due;
         TimePoint serviceDue;
         NodeId asked;
+        TimePoint since;
+        // Random number in [0, 1) that spreads the reads of many nodes.
+        double spread = 0;
     };
     // This node's part in getting the value of a service.
     struct Role
     {
         bool member = false;
+        // The own host list is not here yet, so that the rank is not known.
+        bool unknown = false;
         std::size_t rank = 0;
     };
 
     Role roleFor(const ValueKey &key) const;
-    unsigned attemptsBeforeService(const Role &role, bool ready) const;
+    // Time for which this node asks others before it reads the configuration service.
+    Duration patience(ValueFamily family, const Want &want, const Role &role, bool ready) const;
     std::optional<Request> choose(const ValueKey &key, Want &want, TimePoint now, bool ready);
     std::optional<Request> choosePeer(const ValueKey &key, const Want &want, const Role &role);
     std::optional<Request> firstRanked(const ValueKey &key, const ServiceId &service, unsigned place) const;
--- a/src/core/distribution/valuepull.h
+++ b/src/core/distribution/valuepull.h
@@ -26,7 +26,8 @@
     }
 };
 
-// Answer to `ValuePull`. An empty text says that the sender does not have the value, or may not send it now.
+// Answer to `ValuePull`, with the version and the hash of the text. An empty text says that the sender does not have the value, or may not
+// send it now.
 struct ValueReply
 {
     ValueFamily family = ValueFamily::Configuration;
--- a/src/core/distribution/versiondigest.h
+++ b/src/core/distribution/versiondigest.h
@@ -16,6 +16,8 @@
     Introduction sender;
     VersionStamp configuration;
     VersionStamp hosts;
+    // Configuration in force at the sender; older than `configuration` while that one is incomplete or held back.
+    VersionStamp inForce;
     // Number of a question; the receiver sends its digest with the same number in `answers`. 0 asks nothing: the receiver then answers only
     // if it has something newer, with `answers` set to 1.
     std::uint64_t question = 0;
@@ -25,11 +27,11 @@
 
     auto fields()
     {
-        return std::tie(sender, configuration, hosts, question, answers, readers);
+        return std::tie(sender, configuration, hosts, inForce, question, answers, readers);
     }
     auto fields() const
     {
-        return std::tie(sender, configuration, hosts, question, answers, readers);
+        return std::tie(sender, configuration, hosts, inForce, question, answers, readers);
     }
 };
 
--- a/src/core/membership/membership.cpp
+++ b/src/core/membership/membership.cpp
@@ -20,6 +20,7 @@
         return;
     }
     d->peersChanged = true;
+    d->nextRebuild = {};
     // A member that the list dropped is asked itself before it counts as gone.
     for (const Candidate &candidate : d->table.view(list.service).all) {
         if (!candidate.listed) {
@@ -55,6 +56,7 @@
 void Membership::noteUnreachable(const NodeId &name)
 {
     if (!d->freshness.isPauseLikely(d->clock.now())) {
+        d->probes.drop(name);
         d->noteFailure(name);
     }
 }
@@ -78,6 +80,7 @@
 {
     if (d->table.find(introduction.name) == nullptr) {
         d->peerSet.learn(introduction, d->random);
+        d->peerSet.noteHeard(introduction.name);
         d->peersChanged = true;
     }
 }
--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -47,7 +47,7 @@
     void noteUnreachable(const NodeId &name);
     // Takes a control message of this component.
     void handle(const NodeId &from, const MembershipMessage &message);
-    // Remembers the sender of any control message as a possible peer.
+    // Remembers the sender of a control message of any component as a possible peer: call it with the sender of each `VersionDigest`.
     void learn(const Introduction &introduction);
     // A host list was read from the platform itself, so that the view is fresh without answers of peers.
     void noteViewConfirmed();
--- a/src/core/membership/membershipoptions.h
+++ b/src/core/membership/membershipoptions.h
@@ -36,8 +36,8 @@
     std::size_t monitored = 3;
     // Places of the peer set for members of other services than the own and the called ones.
     std::size_t maxSamples = 16;
-    // One probe of a monitored member per interval, and one of another peer or of a suspected member.
-    Duration probeInterval = std::chrono::seconds(1);
+    // One probe of a monitored member per interval, and one of another peer or of a suspected member every other interval.
+    Duration probeInterval = std::chrono::milliseconds(500);
     Duration probeTimeout = std::chrono::seconds(1);
     unsigned failuresToSuspect = 2;
     // Distinct accusers needed when this node has no evidence of its own.
--- a/src/core/membership/membershipprivate.cpp
+++ b/src/core/membership/membershipprivate.cpp
@@ -37,11 +37,10 @@
     if (stale || !board.add(notice, now)) {
         return;
     }
-    if (table.applyNotice(notice, now)) {
-        peersChanged = true;
-        if (notice.kind == NoticeKind::Suspect) {
-            queueProbe(notice.subject, true);
-        }
+    peersChanged = table.applyNotice(notice, now) || peersChanged;
+    if (notice.kind == NoticeKind::Suspect) {
+        // Also when an own contact outweighs the accusation, since that contact may be some seconds old.
+        queueProbe(notice.subject, true);
     }
 }
 
@@ -59,7 +58,11 @@
     ++sequence;
     publishOwn();
     const std::vector<MemberNotice> notices = board.takeFresh(options.noticesPerMessage);
-    for (const Introduction *peer : peerSet.pickSeveral(AnnounceFanout, random)) {
+    std::vector<const Introduction *> told = peerSet.pickSeveral(AnnounceFanout, random);
+    for (const Introduction *silent : peerSet.silentSamples()) {
+        told.push_back(silent);
+    }
+    for (const Introduction *peer : told) {
         outputs.emplace_back(
             SendMembershipMessage{.to = peer->name,
                                   .address = peer->address,
@@ -81,7 +84,7 @@
 {
     const MemberRecord *record = table.find(name);
     if (record == nullptr) {
-        peerSet.forgetSample(name);
+        peerSet.noteFailure(name);
         peersChanged = true;
         return;
     }
@@ -91,8 +94,10 @@
     }
     const bool suspected = table.noteFailure(name, clock.now());
     peersChanged = peersChanged || suspected;
-    // A member of a silent domain is not accused: the silence says nothing about it, and thousands of notices would.
-    if (suspected && freshness.isFresh() && !domains.isSilent(record->about.domain)) {
+    // A member of a silent domain is not accused: the silence says nothing about it, and thousands of notices would follow. Nor is one that
+    // enough others accuse.
+    const bool accused = record->accuserCount >= options.accusersToSuspect;
+    if (suspected && !accused && freshness.isFresh() && !domains.isSilent(record->about.domain)) {
         board.add({.subject = name,
                    .incarnation = record->about.incarnation,
                    .sequence = record->sequence,
@@ -167,7 +172,9 @@
     if (table.find(asker.name) == nullptr) {
         samples.push_back(self);
     }
-    const Introduction *sample = peerSet.pick(random);
+    // Every other sample is from the asker's failure domain, since reader beacons travel within a domain.
+    const Introduction *sample = probeRound % 2 == 0 ? peerSet.pickOf(asker.domain, random) : nullptr;
+    sample = sample != nullptr ? sample : peerSet.pick(random);
     if (sample != nullptr && sample->name != asker.name) {
         samples.push_back(*sample);
     }
--- a/src/core/membership/membershipprivate.h
+++ b/src/core/membership/membershipprivate.h
@@ -35,6 +35,7 @@
     void receive(const MemberGossip &message);
     void startRegularProbes(TimePoint now);
     void probeMonitored();
+    void probeOthers();
     bool probeNext(std::deque<NodeId> &queue);
     void probeForRefresh();
     void startUrgentProbes();
@@ -59,6 +60,7 @@
     std::uint64_t hostsVersion = 0;
     std::uint64_t firstFreshProbe = 0;
     std::uint64_t probeRound = 0;
+    std::uint64_t otherRound = 0;
     TimePoint nextProbe{};
     TimePoint nextRebuild{};
     bool peersChanged = true;
--- a/src/core/membership/membershipprobing.cpp
+++ b/src/core/membership/membershipprobing.cpp
@@ -28,19 +28,28 @@
     if (!freshness.isFresh()) {
         probeForRefresh();
     }
+    // Monitored members are looked at twice as often as the others.
+    if (probeRound % 2 == 0) {
+        probeOthers();
+    }
+    board.expire(now);
+    table.purge(now);
+}
+
+void Membership::Private::probeOthers()
+{
+    ++otherRound;
     if (peerSet.peers().empty()) {
         if (!options.seeds.empty()) {
-            probe(NodeId(), options.seeds[probeRound % options.seeds.size()]);
+            probe(NodeId(), options.seeds[otherRound % options.seeds.size()]);
         }
         return;
     }
     // Alternates between members that need another look and the other peers.
-    if ((probeRound % 2 == 0 || !probeNext(recheck)) && !peerSet.peers().empty()) {
+    if ((otherRound % 2 == 0 || !probeNext(recheck)) && !peerSet.peers().empty()) {
         const Introduction *peer = peerSet.pick(random);
         probe(peer->name, peer->address);
     }
-    board.expire(now);
-    table.purge(now);
 }
 
 void Membership::Private::probeMonitored()
@@ -52,7 +61,7 @@
     }
 }
 
-// Probes the first member of the queue that still needs it, and puts it at the end of the members to look at again.
+// Probes the first member of the queue that still needs it; a suspected one is put at the end of the members to look at again.
 bool Membership::Private::probeNext(std::deque<NodeId> &queue)
 {
     while (!queue.empty()) {
@@ -66,9 +75,13 @@
         table.reevaluate(name, clock.now());
         const bool needed
             = record->state == MemberState::Suspected || record->failures > 0 || record->accuserCount > 0 || !record->listed();
-        if (needed && record->state != MemberState::Gone) {
+        // An accused member is probed even if this node has heard from it lately; a failure then queues it again.
+        const bool isUrgent = &queue == &urgent;
+        if ((needed || isUrgent) && record->state != MemberState::Gone) {
             const bool sent = probe(name, record->about.address);
-            queueProbe(name, false);
+            if (!isUrgent || record->state == MemberState::Suspected || !sent) {
+                queueProbe(name, false);
+            }
             return sent;
         }
     }
--- a/src/core/membership/noticeboard.cpp
+++ b/src/core/membership/noticeboard.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t MaxSeen = 2048;
 constexpr std::size_t MaxFresh = 64;
 constexpr std::size_t MaxRiding = 64;
+// Accusations of the same subject that are passed on; receivers need two.
+constexpr std::size_t MaxAccusers = 3;
 // A push to 4 peers misses about 2 nodes in 100; with 8 rides in the next seconds the chance to miss one falls below 1 in 100,000.
 constexpr unsigned Rides = 8;
 
@@ -41,6 +43,9 @@
         m_seen.erase(m_seenOrder.front().second);
         m_seenOrder.pop_front();
     }
+    if (notice.kind == NoticeKind::Suspect && accusersOf(notice) >= MaxAccusers) {
+        return true;
+    }
     std::erase_if(m_riding, [&](const Riding &riding) { return supersedes(notice, riding.notice); });
     m_fresh.push_back(notice);
     m_riding.push_back({.notice = notice, .left = Rides});
@@ -53,6 +58,14 @@
     return true;
 }
 
+std::size_t NoticeBoard::accusersOf(const MemberNotice &notice) const
+{
+    return static_cast<std::size_t>(std::count_if(m_riding.begin(), m_riding.end(), [&](const Riding &riding) {
+        return riding.notice.kind == NoticeKind::Suspect && riding.notice.subject == notice.subject
+            && riding.notice.incarnation == notice.incarnation && riding.notice.sequence == notice.sequence;
+    }));
+}
+
 std::vector<MemberNotice> NoticeBoard::takeFresh(std::size_t count)
 {
     const auto end = m_fresh.begin() + static_cast<std::ptrdiff_t>(std::min(count, m_fresh.size()));
--- a/src/core/membership/noticeboard.h
+++ b/src/core/membership/noticeboard.h
@@ -34,6 +34,8 @@
         unsigned left = 0;
     };
 
+    std::size_t accusersOf(const MemberNotice &notice) const;
+
     std::unordered_set<std::uint64_t> m_seen;
     std::deque<std::pair<TimePoint, std::uint64_t>> m_seenOrder;
     std::deque<MemberNotice> m_fresh;
--- a/src/core/membership/peerset.cpp
+++ b/src/core/membership/peerset.cpp
@@ -10,6 +10,8 @@
 namespace wisteriafork {
 
 namespace {
+constexpr std::uint64_t RemoteBit = 1ULL << 63U;
+
 bool isPeer(const MemberRecord &record, const NodeId &self)
 {
     return record.about.name != self && (record.state == MemberState::Live || record.state == MemberState::Leaving);
@@ -25,24 +27,56 @@
     if (introduction.name == m_options.self.name || introduction.name.empty()) {
         return;
     }
-    const auto known
-        = std::find_if(m_samples.begin(), m_samples.end(), [&](const Introduction &sample) { return sample.name == introduction.name; });
-    if (known != m_samples.end()) {
-        if (introduction.incarnation >= known->incarnation) {
-            *known = introduction;
+    const bool local = introduction.domain == m_options.self.domain;
+    std::vector<Sample *> sameKind;
+    for (Sample &sample : m_samples) {
+        if (sample.about.name == introduction.name) {
+            if (introduction.incarnation >= sample.about.incarnation) {
+                sample.about = introduction;
+            }
+            return;
+        }
+        if ((sample.about.domain == m_options.self.domain) == local) {
+            sameKind.push_back(&sample);
         }
-        return;
     }
-    if (m_samples.size() < m_options.maxSamples) {
-        m_samples.push_back(introduction);
+    if (sameKind.size() < m_options.maxSamples / 2) {
+        m_samples.push_back({.about = introduction, .failures = 0});
         return;
     }
-    m_samples[std::uniform_int_distribution<std::size_t>(0, m_samples.size() - 1)(random)] = introduction;
+    const auto silent = std::find_if(sameKind.begin(), sameKind.end(), [](const Sample *sample) { return sample->failures > 0; });
+    Sample *replaced
+        = silent != sameKind.end() ? *silent : sameKind[std::uniform_int_distribution<std::size_t>(0, sameKind.size() - 1)(random)];
+    *replaced = {.about = introduction, .failures = 0};
+}
+
+void PeerSet::noteHeard(const NodeId &name)
+{
+    for (Sample &sample : m_samples) {
+        if (sample.about.name == name) {
+            sample.failures = 0;
+        }
+    }
+}
+
+void PeerSet::noteFailure(const NodeId &name)
+{
+    for (Sample &sample : m_samples) {
+        if (sample.about.name == name) {
+            ++sample.failures;
+        }
+    }
 }
 
-void PeerSet::forgetSample(const NodeId &name)
+std::vector<const Introduction *> PeerSet::silentSamples() const
 {
-    std::erase_if(m_samples, [&](const Introduction &sample) { return sample.name == name; });
+    std::vector<const Introduction *> silent;
+    for (const Sample &sample : m_samples) {
+        if (sample.failures > 0) {
+            silent.push_back(&sample.about);
+        }
+    }
+    return silent;
 }
 
 void PeerSet::rebuild(const MemberTable &table)
@@ -55,9 +89,9 @@
         }
     });
     addCalled(table);
-    for (const Introduction &sample : m_samples) {
-        if (m_peers.size() < m_options.maxPeers && table.find(sample.name) == nullptr) {
-            m_peers.push_back(sample);
+    for (const Sample &sample : m_samples) {
+        if (m_peers.size() < m_options.maxPeers && sample.failures == 0 && table.find(sample.about.name) == nullptr) {
+            m_peers.push_back(sample.about);
         }
     }
 }
@@ -81,7 +115,8 @@
 
 void PeerSet::addCalled(const MemberTable &table)
 {
-    // Ordered by place within the service first, so that each called service gets its share.
+    // Ordered by place within the service first, so that each called service gets its share. Members of the own domain come before others
+    // of the service: most calls go to them, and reader beacons travel within a domain.
     std::vector<std::tuple<std::size_t, std::uint64_t, const MemberRecord *>> ranked;
     const std::uint64_t own = hash64(m_options.self.name.value());
     table.forEachService([&](const ServiceId &service, const std::vector<MemberRecord *> &members) {
@@ -91,7 +126,8 @@
         std::vector<std::pair<std::uint64_t, const MemberRecord *>> weights;
         for (const MemberRecord *record : members) {
             if (isPeer(*record, m_options.self.name)) {
-                weights.emplace_back(hash64(record->about.name.value(), own), record);
+                const std::uint64_t weight = hash64(record->about.name.value(), own) >> 1U;
+                weights.emplace_back(record->about.domain == m_options.self.domain ? weight : weight | RemoteBit, record);
             }
         }
         std::sort(weights.begin(), weights.end());
@@ -116,6 +152,18 @@
     return std::span<const Introduction>(m_peers).first(m_monitored);
 }
 
+const Introduction *PeerSet::pickOf(const DomainId &domain, RandomEngine &random) const
+{
+    const Introduction *chosen = nullptr;
+    std::size_t count = 0;
+    for (const Introduction &peer : m_peers) {
+        if (peer.domain == domain && std::uniform_int_distribution<std::size_t>(0, count++)(random) == 0) {
+            chosen = &peer;
+        }
+    }
+    return chosen;
+}
+
 const Introduction *PeerSet::pick(RandomEngine &random) const
 {
     if (m_peers.empty()) {
--- a/src/core/membership/probetracker.cpp
+++ b/src/core/membership/probetracker.cpp
@@ -37,6 +37,11 @@
     return expired;
 }
 
+void ProbeTracker::drop(const NodeId &to)
+{
+    std::erase_if(m_pending, [&](const Pending &pending) { return pending.to == to; });
+}
+
 void ProbeTracker::clear()
 {
     m_pending.clear();
--- a/src/core/membership/probetracker.h
+++ b/src/core/membership/probetracker.h
@@ -29,6 +29,8 @@
     // Ends the probe; empty if it is not pending any more.
     std::optional<Pending> finish(std::uint64_t number);
     std::vector<Pending> takeExpired(TimePoint now);
+    // Drops the probes of a peer that was reported unreachable, so that one lost connection does not count twice.
+    void drop(const NodeId &to);
     // Drops all; used after a pause, when a missing answer says nothing about the peer.
     void clear();
     std::uint64_t nextNumber() const;
