Serve the administration API from the daemon

Cause: the API had no process that serves it. Conclusion: the section administration of the settings starts it, and an operator's drain keeps the process so that it can be undone.

--- a/src/core/node/nodecore.h
+++ b/src/core/node/nodecore.h
@@ -2,9 +2,9 @@
 
 #include "core/base/clock.h"
 #include "core/distribution/distributionstatus.h"
+#include "core/membership/memberstate.h"
 #include "core/node/action.h"
 #include "core/node/event.h"
-#include "core/membership/memberstate.h"
 #include "core/node/nodeoptions.h"
 
 #include <memory>
--- a/src/daemon/administration.cpp
+++ b/src/daemon/administration.cpp
@@ -84,13 +84,15 @@
 std::string Administration::metricsText() const
 {
     Metrics &metrics = m_shell.statistics().metrics();
-    std::map<MemberState, std::size_t> members{{MemberState::Live, 0}, {MemberState::Leaving, 0}, {MemberState::Suspected, 0}, {MemberState::Gone, 0}};
+    std::map<MemberState, std::size_t> members{
+        {MemberState::Live, 0}, {MemberState::Leaving, 0}, {MemberState::Suspected, 0}, {MemberState::Gone, 0}};
     m_shell.core().inspect([&](NodeCore &core) {
         const LoadReport load = core.loadReport();
         metrics.set(Metric::ConcurrencyLimit, load.limit);
         metrics.set(Metric::Running, load.running);
         metrics.set(Metric::Queued, load.queued);
-        metrics.set(Metric::ConfigurationVersion, core.configuration() == nullptr ? 0.0 : static_cast<double>(core.configuration()->version));
+        metrics.set(Metric::ConfigurationVersion,
+                    core.configuration() == nullptr ? 0.0 : static_cast<double>(core.configuration()->version));
         metrics.set(Metric::ConfigurationHeldBack, core.distributionStatus().heldBack.empty() ? 0 : 1);
         metrics.set(Metric::Draining, core.isDraining() ? 1 : 0);
         if (const Ownership *ownership = core.ownership()) {
--- a/src/daemon/answerer.h
+++ b/src/daemon/answerer.h
@@ -12,8 +12,7 @@
 class Answerer
 {
 public:
-    Answerer(CallTable &calls, CallStatistics &statistics, const Clock &clock)
-        : m_calls(calls), m_statistics(statistics), m_clock(clock)
+    Answerer(CallTable &calls, CallStatistics &statistics, const Clock &clock) : m_calls(calls), m_statistics(statistics), m_clock(clock)
     {
     }
 
--- a/src/daemon/callreceiver.h
+++ b/src/daemon/callreceiver.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/base/clock.h"
-#include "daemon/calltable.h"
 #include "daemon/callstatistics.h"
+#include "daemon/calltable.h"
 #include "daemon/corerunner.h"
 #include "net/serverexchange.h"
 
--- a/src/daemon/callstatistics.cpp
+++ b/src/daemon/callstatistics.cpp
@@ -34,8 +34,8 @@
 {
     m_outcomes.refused(keyOf(call), refusal);
     m_metrics.add(Metric::Calls, {call.service.value(), callClassName(call.callClass), "refused"});
-    m_metrics.add(Metric::Refusals, {call.service.value(), callClassName(call.callClass), refusalKindName(refusal.kind),
-                                     refusalReasonName(refusal.reason)});
+    m_metrics.add(Metric::Refusals,
+                  {call.service.value(), callClassName(call.callClass), refusalKindName(refusal.kind), refusalReasonName(refusal.reason)});
 }
 
 void CallStatistics::abandoned(const CallDescription &call)
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,5 +1,7 @@
 #include "daemon/daemon.h"
 
+#include "admin/adminserver.h"
+#include "daemon/administration.h"
 #include "daemon/nodeshell.h"
 #include "daemon/repeatingtimer.h"
 #include "daemon/serverloadpoller.h"
@@ -8,6 +10,7 @@
 #include "net/tlscontext.h"
 
 #include <csignal>
+#include <iostream>
 #include <sstream>
 #include <thread>
 #include <vector>
@@ -23,6 +26,7 @@
 constexpr std::chrono::milliseconds SweepInterval{20};
 constexpr std::chrono::milliseconds DrainCheckInterval{20};
 constexpr int BrokenOffStatus = 3;
+constexpr int AdministrationFailedStatus = 1;
 
 PeerOptions peerOptions(const Settings &settings)
 {
@@ -61,6 +65,9 @@
         , tick(context, TickInterval, [this] { shell.core().post(Tick{}); })
         , sweep(context, SweepInterval, [this] { shell.sweepDeadlines(); })
         , drainCheck(context, DrainCheckInterval, [this] { checkDrain(); })
+        , administration(
+              settings, shell, [this] { asio::post(context, [this] { drainInPlace(); }); },
+              [this] { asio::post(context, [this] { shell.core().post(UndrainRequested{}); }); })
     {
     }
 
@@ -91,6 +98,28 @@
         drainCheck.start();
     }
 
+    // A drain that an operator asks for keeps the process and its listeners, so that it can be taken back.
+    void drainInPlace()
+    {
+        log.write(EventNumber::DrainStarted, {"operator"});
+        shell.core().post(DrainRequested{});
+    }
+
+    // False if the settings ask for an administration API that cannot be started.
+    bool startAdministration()
+    {
+        if (!settings.administration) {
+            return true;
+        }
+        auto started = AdminServer::start(context, *settings.administration, administration, log);
+        if (!started) {
+            std::cerr << "wisteriafork-node: administration: " << describeAdminStartError(started.error()) << '\n';
+            return false;
+        }
+        adminServer = std::move(*started);
+        return true;
+    }
+
     void checkDrain()
     {
         const auto elapsed = std::chrono::steady_clock::now() - drainStarted;
@@ -126,6 +155,9 @@
         tick.stop();
         sweep.stop();
         loadPoller.stop();
+        if (adminServer) {
+            adminServer->stop();
+        }
         shell.stop();
         context.stop();
     }
@@ -135,6 +167,9 @@
         callerServer.listen(settings.callers);
         localServer.listen(settings.local);
         peerServer.listen(settings.peers);
+        if (!startAdministration()) {
+            return AdministrationFailedStatus;
+        }
         waitForSignal();
         shell.start();
         tick.start();
@@ -168,6 +203,8 @@
     RepeatingTimer tick;
     RepeatingTimer sweep;
     RepeatingTimer drainCheck;
+    Administration administration;
+    std::unique_ptr<AdminServer> adminServer;
     std::chrono::steady_clock::time_point drainStarted;
     bool draining = false;
     bool listenersStopped = false;
--- a/src/daemon/peerreceiver.cpp
+++ b/src/daemon/peerreceiver.cpp
@@ -37,6 +37,7 @@
     CallRecord record;
     record.call = std::move(forwarded->call);
     record.traceId = forwarded->traceId;
+    record.arrived = m_clock.now();
     record.request = exchange->request;
     record.exchange = exchange;
     const std::shared_ptr<CallRecord> added = m_calls.add(std::move(record));
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -1,5 +1,6 @@
 #include "daemon/settings.h"
 
+#include "admin/adminsettings.h"
 #include "core/config/objectreader.h"
 #include "core/config/publishedconfiguration.h"
 
@@ -52,6 +53,10 @@
             m_settings.services.emplace_back(std::move(service));
         }
         m_settings.seeds = root.texts("seeds", false);
+        if (const nlohmann::json *administration = root.member("administration")) {
+            m_settings.administration
+                = readAdminOptions(m_document, *administration, root.pointerTo("administration"), m_directory, m_findings);
+        }
         root.elements("hosts", false, [this](const nlohmann::json &value, const std::string &pointer) { readHosts(value, pointer); });
         root.reportUnknownMembers();
         if (hasErrors(m_findings)) {
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admin/adminoptions.h"
 #include "core/base/hostlist.h"
 #include "core/base/memberinfo.h"
 #include "core/config/configuration.h"
@@ -61,6 +62,8 @@
     LogOptions log;
     // Empty means the standard error stream.
     std::string logFile;
+    // Administration API; none without the section `administration`.
+    std::optional<AdminOptions> administration;
     // Services whose configuration and instances the node keeps from the start, beside its own and those that it calls.
     std::vector<ServiceId> services;
     // Peer addresses of nodes to ask at the start, while no host list is known.
