--- a/bench/capacity/capacity_bench.cpp
+++ b/bench/capacity/capacity_bench.cpp
@@ -214,7 +214,8 @@
     constexpr std::size_t Instances = 31;
     services = services == 0 ? std::max<std::size_t>(1, members / Instances) : services;
     Capacity capacity(services, std::max<std::size_t>(1, members / services), domains, std::chrono::seconds(1 + (members / 1000)));
-    capacity.report.add("members", static_cast<double>(services * (members / services)), "");
+    const std::size_t perService = members / services;
+    capacity.report.add("members", static_cast<double>(services * perService), "");
     capacity.report.add("services", static_cast<double>(services), "");
     capacity.coldStart();
     capacity.settle(20s);
--- a/bench/process/main.cpp
+++ b/bench/process/main.cpp
@@ -1,6 +1,7 @@
 #include "nodepair.h"
 #include "pathload.h"
 
+#include <cinttypes>
 #include <cstdio>
 #include <cstdlib>
 
@@ -28,10 +29,11 @@
     Timer timer(asio::make_strand(context));
     std::function<void()> sendDue = [&] {
         const double elapsed = std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
-        for (; due <= elapsed; due += gap(random)) {
+        while (due <= elapsed) {
             (nodesFirst ? nodes : direct).send();
             (nodesFirst ? direct : nodes).send();
             nodesFirst = !nodesFirst;
+            due += gap(random);
         }
         if (elapsed < static_cast<double>(time.count())) {
             timer.expires_after(SendInterval / 4);
@@ -52,8 +54,8 @@
 
 void printRow(double share, double rate, PathLoad &direct, PathLoad &nodes)
 {
-    std::printf("%3.0f%% %7.0f/s  refused %llu of %llu", share * 100, rate, static_cast<unsigned long long>(nodes.refused()),
-                static_cast<unsigned long long>(nodes.refused() + nodes.answered()));
+    const std::uint64_t ended = nodes.refused() + nodes.answered();
+    std::printf("%3.0f%% %7.0f/s  refused %" PRIu64 " of %" PRIu64, share * 100, rate, std::uint64_t{nodes.refused()}, ended);
     for (const double percentile : {0.5, 0.99, 0.999}) {
         const double without = milliseconds(direct.percentile(percentile));
         const double with = milliseconds(nodes.percentile(percentile));
--- a/src/core/distribution/sliceset.cpp
+++ b/src/core/distribution/sliceset.cpp
@@ -41,7 +41,7 @@
     needed.emplace_back(std::string(CommonSlice));
     const IndexEntry *own = index.find(m_own);
     const Text text = own != nullptr ? find(m_own, own->hash) : nullptr;
-    if (text != nullptr && m_options.slices.calledServices) {
+    if (own != nullptr && text != nullptr && m_options.slices.calledServices) {
         if (m_called.first != own->hash) {
             m_called = {own->hash, m_options.slices.calledServices(*text)};
         }
--- a/src/observability/metrics.cpp
+++ b/src/observability/metrics.cpp
@@ -93,7 +93,8 @@
     double cumulative = series.histogram->at(-1);
     for (std::size_t index = 0; index < Bounds.size(); ++index) {
         cumulative += series.histogram->at(static_cast<int>(index));
-        text += name + "_bucket{" + prefix + "le=\"" + number(Bounds[index]) + "\"} " + number(cumulative) + "\n";
+        text.append(name).append("_bucket{").append(prefix).append("le=\"").append(number(Bounds[index])).append("\"} ");
+        text.append(number(cumulative)).append("\n");
     }
     cumulative += series.histogram->at(static_cast<int>(Bounds.size()));
     text += name + "_bucket{" + prefix + "le=\"+Inf\"} " + number(cumulative) + "\n";
