Forward calls with what they inherited, and fix the request hash over resends

Cause: the transport forwarded a call as it was classified, so class, tenant and request hash inherited from the parent were lost at the next hop; and a resend got a fresh hash, that is another chance at the admission level. Conclusion: the core hands the description to send to the transport.

--- a/src/core/node/action.h
+++ b/src/core/node/action.h
@@ -21,10 +21,12 @@
     std::uint32_t attemptsLeft = 0;
 };
 
-// Send the call to a peer. The transport sends the call description with the changed values given here.
+// Send the call to a peer.
 struct ForwardCall
 {
     CallId id = 0;
+    // Description to send. It differs from the one that arrived where the call inherited class, tenant or request hash from its parent.
+    CallDescription call;
     NodeId to;
     // Address of the receiver's peer listener, "127.0.0.1:7101".
     std::string address;
--- a/src/core/node/callflow.cpp
+++ b/src/core/node/callflow.cpp
@@ -77,6 +77,7 @@
     }
     if (call.origin != CallOrigin::Peer) {
         m_parts.retries.freshCall();
+        m_parts.edge.classify(call);
         if (const std::optional<Refusal> refusal = m_parts.edge.check(call)) {
             return uncertain(*refusal);
         }
--- a/src/core/node/forwardedcalls.cpp
+++ b/src/core/node/forwardedcalls.cpp
@@ -33,6 +33,7 @@
     state.sentAt = m_parts.clock.now();
     m_parts.recordDecision(state, state.retriesMade > 0 ? DecisionKind::Retried : DecisionKind::Forwarded, to, std::move(reason));
     m_parts.actions.add(ForwardCall{.id = state.call.id,
+                                    .call = state.call,
                                     .to = to,
                                     .address = member->peerAddress,
                                     .mode = mode,
--- a/src/core/node/localcalls.cpp
+++ b/src/core/node/localcalls.cpp
@@ -156,13 +156,28 @@
 void LocalCalls::poll()
 {
     for (const AdmissionResult &result : m_parts.admission.poll()) {
-        if (CallState *state = m_parts.calls.find(result.id)) {
+        CallState *state = m_parts.calls.find(result.id);
+        if (state == nullptr) {
+            continue;
+        }
+        const bool starts = result.verdict == AdmissionVerdict::Run;
+        if (const std::optional<Refusal> refusal = starts ? checkAgain(*state) : std::nullopt) {
+            m_parts.admission.cancel(result.id);
+            endRefused(*state, *refusal);
+        } else {
             apply(*state, result);
         }
     }
     offerHeldCalls();
 }
 
+std::optional<Refusal> LocalCalls::checkAgain(const CallState &state)
+{
+    // The services below may have closed while the call waited. An owned run has been decided on and is not checked.
+    const bool external = state.call.origin == CallOrigin::Peer && state.mode == ForwardMode::Serve && !state.call.internal;
+    return external ? m_parts.edge.checkBelow(state.call) : std::nullopt;
+}
+
 void LocalCalls::offerHeldCalls()
 {
     const std::vector<CallId> held = std::exchange(m_held, {});
--- a/src/core/node/localcalls.h
+++ b/src/core/node/localcalls.h
@@ -31,6 +31,8 @@
     // Returns the time that the call spent waiting for its own calls.
     Duration release(CallState &state, CallOutcome outcome);
     void endRefused(CallState &state, const Refusal &refusal);
+    // Refusal of a call that waited and would start now.
+    std::optional<Refusal> checkAgain(const CallState &state);
     void offerHeldCalls();
 
     NodeParts &m_parts;
--- a/src/daemon/forwarder.cpp
+++ b/src/daemon/forwarder.cpp
@@ -32,7 +32,7 @@
     }
     ForwardedCall forwarded{.from = m_self,
                             .mode = action.mode,
-                            .call = record->call,
+                            .call = action.call,
                             .traceId = record->traceId,
                             .method = record->request->method,
                             .target = record->request->target};
--- a/src/net/requestclassifier.cpp
+++ b/src/net/requestclassifier.cpp
@@ -157,11 +157,13 @@
     }
     const std::string_view caller = callerIdentity(request, source.remoteAddress);
     call.callerHash = hash64(caller);
-    call.requestHash = hash64(call.requestId);
     if (!operation->idempotent) {
         call.key = requestKey(request, *operation, {.service = service->id.value(), .caller = caller, .path = path});
     }
     call.fingerprint = requestFingerprint(request, call);
+    // Fixed over the resends of a request: with a fresh hash each resend would get another chance at the admission level, and callers that
+    // resend hard would push out those that do not.
+    call.requestHash = hash64(caller, call.fingerprint.high ^ call.fingerprint.low);
     call.deadline = source.now + remainingTime(request, *operation);
     call.attemptsLeft = attemptsFor(request, source.origin);
     return result;
--- a/tests/node/fleet.cpp
+++ b/tests/node/fleet.cpp
@@ -158,7 +158,7 @@
         });
         return;
     }
-    CallDescription call = host.calls[fromCall].description;
+    CallDescription call = action.call;
     call.origin = CallOrigin::Peer;
     call.attemptsLeft = action.attemptsLeft;
     schedule(m_options.linkDelay, [this, call, from, fromCall, to = action.to, mode = action.mode]() mutable {
