--- a/src/core/node/action.h
+++ b/src/core/node/action.h
@@ -5,6 +5,7 @@
 #include "core/base/refusal.h"
 #include "core/node/decision.h"
 #include "core/node/forwardmode.h"
+#include "core/node/notice.h"
 #include "core/node/peermessage.h"
 
 #include <string>
@@ -112,6 +113,12 @@
     Decision decision;
 };
 
+// Write one log line for operators.
+struct RecordNotice
+{
+    Notice notice;
+};
+
 // Send a `Wake` at the given time.
 struct ScheduleWake
 {
@@ -123,8 +130,8 @@
 {
 };
 
-using Action
-    = std::variant<RunLocal, ForwardCall, RespondRefused, RelayAnswer, StoreAnswer, RespondStored, DropStoredAnswer, CancelLocal,
-                   CancelForward, SendPeerMessage, ReadPlatformValue, StartWatch, StopWatch, RecordDecision, ScheduleWake, DrainComplete>;
+using Action = std::variant<RunLocal, ForwardCall, RespondRefused, RelayAnswer, StoreAnswer, RespondStored, DropStoredAnswer, CancelLocal,
+                            CancelForward, SendPeerMessage, ReadPlatformValue, StartWatch, StopWatch, RecordDecision, RecordNotice,
+                            ScheduleWake, DrainComplete>;
 
 } // namespace wisteriafork
--- a/src/core/node/controlplane.cpp
+++ b/src/core/node/controlplane.cpp
@@ -141,23 +141,34 @@
     m_parts.actions.add(SendPeerMessage{.to = output.to, .address = output.address, .message = output.message});
 }
 
+DomainId ControlPlane::domainOf(const NodeId &name) const
+{
+    const MemberInfo *member = m_parts.listedMember(name);
+    return member == nullptr ? DomainId() : member->domain;
+}
+
 void ControlPlane::on(const MemberStateChanged &output)
 {
+    m_parts.actions.add(
+        RecordNotice{.notice = MemberStateNotice{
+                         .member = output.name, .incarnation = output.incarnation, .domain = domainOf(output.name), .state = output.to}});
     if (const MemberInfo *member = m_parts.listedMember(output.name)) {
         updateRouter(member->service);
     }
 }
 
-void ControlPlane::on(const PauseDetected &)
+void ControlPlane::on(const PauseDetected &output)
 {
+    m_parts.actions.add(RecordNotice{.notice = PauseNotice{.length = output.length}});
 }
 
 void ControlPlane::on(const ViewRefreshed &)
 {
 }
 
-void ControlPlane::on(const DomainSilenceChanged &)
+void ControlPlane::on(const DomainSilenceChanged &output)
 {
+    m_parts.actions.add(RecordNotice{.notice = DomainNotice{.domain = output.domain, .silent = output.silent}});
 }
 
 void ControlPlane::on(const SendDistributionMessage &output)
@@ -194,6 +205,8 @@
         }
     }
     apply(assembleConfiguration(output.stamp.version, common, std::move(services)));
+    m_parts.actions.add(
+        RecordNotice{.notice = ConfigurationNotice{.version = output.stamp.version, .from = m_distribution.status().inForceFrom}});
 }
 
 void ControlPlane::on(const HostListChanged &output)
@@ -212,8 +225,11 @@
     m_parts.membership.setHostsVersion(output.version);
 }
 
-void ControlPlane::on(const ValueHeldBack &)
+void ControlPlane::on(const ValueHeldBack &output)
 {
+    m_parts.actions.add(RecordNotice{.notice = HeldBackNotice{.version = output.stamp.version,
+                                                              .inForce = m_distribution.status().inForce.version,
+                                                              .findings = output.findings}});
 }
 
 void ControlPlane::on(const VersionConflict &)
--- a/src/core/node/controlplane.h
+++ b/src/core/node/controlplane.h
@@ -51,6 +51,8 @@
 
     void takeHostList(const HostList &list);
     void updateRouter(const ServiceId &service);
+    // Failure domain of an instance; empty if it is not listed.
+    DomainId domainOf(const NodeId &name) const;
     void sendCrashReports();
 
     NodeParts &m_parts;
--- a/src/daemon/nodeshell.cpp
+++ b/src/daemon/nodeshell.cpp
@@ -1,5 +1,7 @@
 #include "daemon/nodeshell.h"
 
+#include "daemon/noticewriter.h"
+
 #include <random>
 #include <sstream>
 #include <utility>
@@ -200,6 +202,11 @@
     m_log.write(action.decision);
 }
 
+void NodeShell::carryOut(const RecordNotice &action)
+{
+    writeNotice(m_log, action.notice);
+}
+
 void NodeShell::carryOut(const ScheduleWake &action)
 {
     auto timer = std::make_shared<Timer>(asio::make_strand(m_context), action.at);
--- a/src/daemon/nodeshell.h
+++ b/src/daemon/nodeshell.h
@@ -84,6 +84,7 @@
     void carryOut(const StartWatch &action);
     void carryOut(const StopWatch &action);
     void carryOut(const RecordDecision &action);
+    void carryOut(const RecordNotice &action);
     void carryOut(const ScheduleWake &action);
     void carryOut(const DrainComplete &action);
 
