--- a/src/net/tlstransport.h
+++ b/src/net/tlstransport.h
@@ -31,7 +31,7 @@
     std::shared_ptr<const TlsContext> m_tls;
     Socket m_pendingSocket;
     std::unique_ptr<Stream> m_stream;
-    std::array<char, 32 * 1024> m_readBuffer{};
+    std::array<char, 32'768> m_readBuffer{};
 };
 
 } // namespace wisteriafork
--- a/tests/node/fleet.cpp
+++ b/tests/node/fleet.cpp
@@ -345,7 +345,8 @@
     std::vector<MemberInfo> members;
     for (int i = 0; i < count; ++i) {
         const std::string &domain = domains[static_cast<std::size_t>(i) % domains.size()];
-        const std::string name = service + "-" + domain + "-" + std::to_string(i);
+        std::string name = service;
+        name.append("-").append(domain).append("-").append(std::to_string(i));
         members.push_back({.name = NodeId(name),
                            .incarnation = 1,
                            .service = ServiceId(service),
--- a/tests/process/loadclient.cpp
+++ b/tests/process/loadclient.cpp
@@ -75,10 +75,10 @@
             request->body += number;
         }
     }
-    send(std::move(request));
+    send(request);
 }
 
-void LoadClient::send(std::shared_ptr<const HttpRequest> request)
+void LoadClient::send(const std::shared_ptr<const HttpRequest> &request)
 {
     m_client.send(request, {}, [this, request](const tl::expected<HttpResponse, ExchangeError> &result) { answered(request, result); });
 }
--- a/tests/process/loadclient.h
+++ b/tests/process/loadclient.h
@@ -50,7 +50,7 @@
 
 private:
     void sendNext();
-    void send(std::shared_ptr<const HttpRequest> request);
+    void send(const std::shared_ptr<const HttpRequest> &request);
     void sendAgain(std::shared_ptr<const HttpRequest> request);
     void answered(const std::shared_ptr<const HttpRequest> &request, const tl::expected<HttpResponse, ExchangeError> &result);
 
--- a/tests/process/nodeprocess.cpp
+++ b/tests/process/nodeprocess.cpp
@@ -13,8 +13,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-extern char **environ;
-
 namespace wisteriafork {
 
 namespace {
