Share the accept logic of both servers and the names of refusals

Cause: httpserver.cpp and peerserver.cpp held the same listener, connection list and stop logic; src/net and src/observability held the same table of refusal names, one of them with parsing functions that nothing called. Change: ConnectionAcceptor holds the logic once; refusalname in src/core/base holds the names; refusaltext is renamed after what is left of it, the responses.

--- a/src/admin/adminjson.cpp
+++ b/src/admin/adminjson.cpp
@@ -2,7 +2,7 @@
 
 #include "core/config/callclassname.h"
 #include "core/config/findings.h"
-#include "observability/refusalname.h"
+#include "core/base/refusalname.h"
 
 namespace wisteriafork {
 
--- a/src/daemon/answerer.cpp
+++ b/src/daemon/answerer.cpp
@@ -1,7 +1,7 @@
 #include "daemon/answerer.h"
 
 #include "net/callheaders.h"
-#include "net/refusaltext.h"
+#include "net/refusalresponse.h"
 
 #include <utility>
 
--- a/src/daemon/callreceiver.cpp
+++ b/src/daemon/callreceiver.cpp
@@ -1,6 +1,6 @@
 #include "daemon/callreceiver.h"
 
-#include "net/refusaltext.h"
+#include "net/refusalresponse.h"
 #include "net/traceparent.h"
 
 #include <random>
--- a/src/daemon/callstatistics.cpp
+++ b/src/daemon/callstatistics.cpp
@@ -1,7 +1,7 @@
 #include "daemon/callstatistics.h"
 
 #include "core/config/callclassname.h"
-#include "observability/refusalname.h"
+#include "core/base/refusalname.h"
 
 namespace wisteriafork {
 
--- a/src/daemon/localrunner.cpp
+++ b/src/daemon/localrunner.cpp
@@ -1,7 +1,7 @@
 #include "daemon/localrunner.h"
 
 #include "core/config/callclassname.h"
-#include "net/refusaltext.h"
+#include "net/refusalresponse.h"
 #include "net/traceparent.h"
 
 #include <algorithm>
--- a/src/daemon/peerreceiver.cpp
+++ b/src/daemon/peerreceiver.cpp
@@ -2,7 +2,7 @@
 
 #include "net/callheaders.h"
 #include "net/codec.h"
-#include "net/refusaltext.h"
+#include "net/refusalresponse.h"
 
 #include <utility>
 
--- a/src/net/callheaders.cpp
+++ b/src/net/callheaders.cpp
@@ -1,6 +1,6 @@
 #include "net/callheaders.h"
 
-#include "net/refusaltext.h"
+#include "net/refusalresponse.h"
 
 #include <array>
 #include <charconv>
--- a/src/net/peerserver.cpp
+++ b/src/net/peerserver.cpp
@@ -1,82 +1,48 @@
 #include "net/peerserver.h"
 
-#include "net/listener.h"
+#include "net/connectionacceptor.h"
 #include "net/peerserversession.h"
 
 #include <atomic>
-#include <mutex>
-#include <vector>
+#include <utility>
 
 namespace wisteriafork {
 
-class PeerServer::Private : public std::enable_shared_from_this<PeerServer::Private>
+class PeerServer::Private
 {
 public:
-    Private(ServerHandler &serverHandler, const PeerOptions &peerOptions)
-        : handler(serverHandler), options(peerOptions), count(std::make_shared<std::atomic<std::size_t>>(0))
-    {
-    }
+    using Acceptor = ConnectionAcceptor<PeerServerSession>;
 
-    void createListener(asio::io_context &context)
+    Private(asio::io_context &context, ServerHandler &handler, const PeerOptions &options)
+        : count(std::make_shared<std::atomic<std::size_t>>(0))
+        , acceptor(Acceptor::create(
+              context,
+              {.accept = [&handler, options, count = count](Socket socket) { return accept(std::move(socket), handler, options, count); },
+               .stop =
+                   [](PeerServerSession &session) {
+                       session.shutDown();
+                   }}))
     {
-        listener = std::make_shared<Listener>(context,
-                                              Listener::Callbacks{.accepted =
-                                                                      [weak = weak_from_this()](Socket socket) {
-                                                                          if (const auto self = weak.lock()) {
-                                                                              self->adopt(std::move(socket));
-                                                                          }
-                                                                      },
-                                                                  .stopped =
-                                                                      [weak = weak_from_this()] {
-                                                                          if (const auto self = weak.lock()) {
-                                                                              self->stopSessions();
-                                                                          }
-                                                                      }});
     }
 
-    void adopt(Socket socket)
+    static std::shared_ptr<PeerServerSession> accept(Socket socket, ServerHandler &handler, const PeerOptions &options,
+                                                     const std::shared_ptr<std::atomic<std::size_t>> &count)
     {
         if (*count >= options.limits.connections) {
-            return;
-        }
-        const auto session
-            = std::make_shared<PeerServerSession>(makePeerTransport(std::move(socket), options.tls), options, handler, count);
-        {
-            const std::lock_guard lock(mutex);
-            if (sessions.size() >= 2 * *count + 16) {
-                std::erase_if(sessions, [](const auto &weak) { return weak.expired(); });
-            }
-            sessions.push_back(session);
+            return nullptr;
         }
+        auto session = std::make_shared<PeerServerSession>(makePeerTransport(std::move(socket), options.tls), options, handler, count);
         session->start();
+        return session;
     }
 
-    void stopSessions()
-    {
-        std::vector<std::weak_ptr<PeerServerSession>> open;
-        {
-            const std::lock_guard lock(mutex);
-            open.swap(sessions);
-        }
-        for (const auto &weak : open) {
-            if (const auto session = weak.lock()) {
-                session->shutDown();
-            }
-        }
-    }
-
-    ServerHandler &handler;
-    const PeerOptions options;
-    std::shared_ptr<Listener> listener;
     const std::shared_ptr<std::atomic<std::size_t>> count;
-    std::mutex mutex;
-    std::vector<std::weak_ptr<PeerServerSession>> sessions;
+    const std::shared_ptr<Acceptor> acceptor;
 };
 
 PeerServer::PeerServer(asio::io_context &context, ServerHandler &handler, const PeerOptions &options)
-    : d(std::make_shared<Private>(handler, options))
+    : d(std::make_shared<Private>(context, handler, options))
 {
-    d->createListener(context);
 }
 
 PeerServer::~PeerServer()
@@ -86,17 +52,17 @@
 
 void PeerServer::listen(const Tcp::endpoint &address)
 {
-    d->listener->listen(address);
+    d->acceptor->listener().listen(address);
 }
 
 Tcp::endpoint PeerServer::address() const
 {
-    return d->listener->address();
+    return d->acceptor->listener().address();
 }
 
 void PeerServer::stop()
 {
-    d->listener->stop();
+    d->acceptor->listener().stop();
 }
 
 std::size_t PeerServer::sessionCount() const
--- a/tests/observability/outcomes_test.cpp
+++ b/tests/observability/outcomes_test.cpp
@@ -2,7 +2,7 @@
 #include "observability/metrics.h"
 #include "observability/outcomes.h"
 #include "observability/recentload.h"
-#include "observability/refusalname.h"
+#include "core/base/refusalname.h"
 
 #include <set>
 #include <string>
