Refuse critical calls only after reads have been closed for a grace time

The internal lookups lost were refused by the services below because their waiting time was expected to pass the deadline.

Internal calls are no longer refused for an expected wait. The estimate of the holding time is a type of its own (HoldingEstimate).

--- a/src/core/overload/admissioncontroller.cpp
+++ b/src/core/overload/admissioncontroller.cpp
@@ -2,9 +2,11 @@
 
 #include "core/overload/callqueue.h"
 #include "core/overload/concurrencylimit.h"
+#include "core/overload/holdingestimate.h"
 #include "core/overload/isolation.h"
 #include "core/overload/levelcontroller.h"
 #include "core/overload/operationprofile.h"
+#include "core/overload/shedsequence.h"
 
 #include <algorithm>
 #include <cmath>
@@ -16,15 +18,11 @@
 
 namespace {
 
-// Weight of one call in the mean holding time.
+// Weight of one call in the mean holding time of its operation.
 constexpr double HoldingWeight = 0.05;
-// Ratio of holding time to the mean age of running calls. It is 2 for equal times and 1 for exponential ones.
-constexpr double AgeFactor = 1.25;
 // A holding time that was not measured for this long no longer refuses calls, so that one call measures it again.
 constexpr Duration HoldingMemory = std::chrono::seconds(1);
 constexpr Duration ShortestRetryAfter = std::chrono::seconds(1);
-// Level that admits critical calls only.
-constexpr double CriticalOnlyScale = CutsPerClass;
 
 double seconds(Duration duration)
 {
@@ -63,6 +61,7 @@
         , clock(nodeClock)
         , limit(options.limit, clock)
         , level(options.level, clock)
+        , sequence(options.closure, clock)
         , queue(options.order, options.fairnessEnabled)
         , isolation(options.isolationShare, options.isolationEnabled)
     {
@@ -77,7 +76,8 @@
     bool cannotFinish(const OperationProfile &operation, TimePoint deadline, double wait) const;
     double expectedWait(CallRank rank, std::size_t operation) const;
     double capacity() const;
-    double currentHolding() const;
+    void closeReads();
+    bool refusesCritical();
     bool hasFreeSlot() const;
     void start(CallId id, std::size_t operation);
     void enqueue(const CallDescription &call, std::size_t operation);
@@ -92,6 +92,9 @@
     const Clock &clock;
     ConcurrencyLimit limit;
     LevelController level;
+    ShedSequence sequence;
+    // Level in force, on the scale.
+    double scale = FullScale;
     CallQueue queue;
     Isolation isolation;
     std::vector<OperationProfile> operations;
@@ -100,10 +103,7 @@
     std::unordered_map<CallId, RunningCall> running;
     std::vector<AdmissionResult> pending;
     std::vector<bool> blocked;
-    // Mean time that a call holds a slot, in seconds.
-    double holdingTime = 0.0;
-    // Sum of the start times of all running calls, in seconds.
-    double startSum = 0.0;
+    HoldingEstimate holding;
 };
 
 AdmissionController::AdmissionController(AdmissionOptions options, const Clock &clock) : m_d(std::make_unique<Private>(options, clock))
@@ -162,9 +162,9 @@
         const double sample = seconds(held);
         operation.holdingTime += (operation.holdingTime <= 0.0 ? 1.0 : HoldingWeight) * (sample - operation.holdingTime);
         operation.lastSample = m_d->clock.now();
-        m_d->holdingTime += (m_d->holdingTime <= 0.0 ? 1.0 : HoldingWeight) * (sample - m_d->holdingTime);
+        m_d->holding.sample(sample);
     }
-    m_d->startSum -= seconds(call.started.time_since_epoch());
+    m_d->holding.ended(call.started);
     m_d->running.erase(found);
     --operation.running;
     m_d->isolation.ended(operation);
@@ -216,8 +216,11 @@
     load.limit = m_d->limit.limit();
     load.running = static_cast<std::uint32_t>(m_d->running.size());
     load.queued = static_cast<std::uint32_t>(m_d->queue.size());
-    load.serviceTime = fromSeconds(m_d->holdingTime);
-    load.level = m_d->options.levelEnabled ? m_d->level.nextLevel() : AdmissionLevel{};
+    load.serviceTime = fromSeconds(m_d->holding.finished());
+    if (m_d->options.levelEnabled) {
+        const AdmissionLevel wanted = m_d->level.nextLevel();
+        load.level = m_d->scale == m_d->level.scale() ? wanted : fromScale(m_d->scale);
+    }
     return load;
 }
 
@@ -271,12 +274,13 @@
     return {.id = call.id, .verdict = AdmissionVerdict::Queued, .refusal = {}};
 }
 
-// A critical call is refused for load only when no read is admitted any more: the first one that would have to be refused closes the level
-// for all other classes, and waits.
+// A critical call is refused for load only when reads have been closed for the grace time: the first one that would have to be refused
+// closes the level for all other classes, and waits.
 AdmissionResult AdmissionController::Private::decideCritical(const CallDescription &call, std::size_t operation, bool mustWait)
 {
     level.arrived(call.callClass);
-    if (options.deadlineCheckEnabled && cannotFinish(operations[operation], call.deadline, 0.0)) {
+    const bool hopeless = options.deadlineCheckEnabled && cannotFinish(operations[operation], call.deadline, 0.0);
+    if (hopeless && (!call.internal || !options.internalWaitEnabled) && refusesCritical()) {
         return {.id = call.id, .verdict = AdmissionVerdict::Refused, .refusal = refusal(RefusalReason::DeadlineTooShort)};
     }
     if (!mustWait) {
@@ -287,9 +291,9 @@
         = options.deadlineCheckEnabled && cannotFinish(operations[operation], call.deadline, expectedWait(CallRank::Critical, operation));
     if (late || queue.size() >= options.queueLimit) {
         makeRoom(CallRank::Critical);
-        const bool othersAdmitted = level.scale() > CriticalOnlyScale;
-        level.tighten(CriticalOnlyScale);
-        if (!othersAdmitted) {
+        const bool full = queue.size() >= 2 * options.queueLimit;
+        const bool waits = call.internal && options.internalWaitEnabled;
+        if (refusesCritical() ? !waits || full : full) {
             return {.id = call.id, .verdict = AdmissionVerdict::Refused, .refusal = refusal(RefusalReason::Overloaded)};
         }
     }
@@ -297,12 +301,32 @@
     return {.id = call.id, .verdict = AdmissionVerdict::Queued, .refusal = {}};
 }
 
+void AdmissionController::Private::closeReads()
+{
+    level.tighten(CriticalOnlyScale);
+    scale = sequence.apply(level.scale());
+}
+
+// Closes reads, and tells whether a critical call that the server cannot take may be refused already.
+bool AdmissionController::Private::refusesCritical()
+{
+    const bool allowed = sequence.mayRefuseCritical();
+    closeReads();
+    if (allowed) {
+        sequence.criticalRefused();
+    }
+    return allowed;
+}
+
 std::optional<Refusal> AdmissionController::Private::checkLoad(const CallDescription &call, std::size_t operation) const
 {
-    if (options.levelEnabled && !call.internal && !admits(level.scale(), call.callClass, call.requestHash)) {
+    if (options.levelEnabled && !call.internal && !admits(scale, call.callClass, call.requestHash)) {
         return refusal(RefusalReason::Overloaded);
     }
     const CallRank rank = options.priorityEnabled ? rankOf(call) : CallRank::Read;
+    if (call.internal && options.internalWaitEnabled) {
+        return std::nullopt;
+    }
     if (options.deadlineCheckEnabled && cannotFinish(operations[operation], call.deadline, expectedWait(rank, operation))) {
         return refusal(RefusalReason::DeadlineTooShort);
     }
@@ -313,9 +337,7 @@
 {
     const TimePoint now = clock.now();
     const bool known = now - operation.lastSample < HoldingMemory || operation.running > 0;
-    // Scaled by how much slower the running calls are than the finished ones.
-    const double slower = holdingTime > 0.0 ? currentHolding() / holdingTime : 1.0;
-    const double needed = wait + (known ? operation.holdingTime * slower : 0.0);
+    const double needed = wait + (known ? operation.holdingTime * holding.slower(now) : 0.0);
     return now + fromSeconds(needed) > deadline;
 }
 
@@ -334,17 +356,7 @@
 
 double AdmissionController::Private::capacity() const
 {
-    return holdingTime > 0.0 ? limit.limit() / currentHolding() : 0.0;
-}
-
-double AdmissionController::Private::currentHolding() const
-{
-    // Finished calls tell late of a slowdown, because the slow ones have not finished yet; the age of the running ones tells at once.
-    double age = 0.0;
-    if (!running.empty()) {
-        age = seconds(clock.now().time_since_epoch()) - startSum / static_cast<double>(running.size());
-    }
-    return std::max(holdingTime, AgeFactor * age);
+    return holding.finished() > 0.0 ? limit.limit() / holding.current(clock.now()) : 0.0;
 }
 
 bool AdmissionController::Private::hasFreeSlot() const
@@ -355,7 +367,7 @@
 void AdmissionController::Private::start(CallId id, std::size_t operation)
 {
     running.emplace(id, RunningCall{.operation = operation, .started = clock.now()});
-    startSum += seconds(clock.now().time_since_epoch());
+    holding.started(clock.now());
     ++operations[operation].running;
     isolation.started(operations[operation]);
     refreshBlocked();
@@ -368,6 +380,7 @@
                 .tenant = tenantIndex(call.tenant),
                 .operation = operation,
                 .callerHash = call.callerHash,
+                .internal = call.internal,
                 .deadline = call.deadline});
 }
 
@@ -394,11 +407,11 @@
         return;
     }
     // A call with less time left than calls take now would most likely fail further below, after work was spent on it.
-    const TimePoint latest = clock.now() + fromSeconds(currentHolding());
-    while (const std::optional<WaitingCall> late = queue.takeExpired(latest)) {
-        if (late->rank == CallRank::Critical) {
-            level.tighten(CriticalOnlyScale);
-        }
+    const TimePoint latest = clock.now() + fromSeconds(holding.current(clock.now()));
+    const auto mayRefuse = [this](const WaitingCall &call) {
+        return !(call.internal && options.internalWaitEnabled) && (call.rank != CallRank::Critical || refusesCritical());
+    };
+    while (const std::optional<WaitingCall> late = queue.takeExpired(latest, mayRefuse)) {
         refuseWaiting(late->id, RefusalReason::DeadlineTooShort);
     }
 }
@@ -413,6 +426,7 @@
     if (options.levelEnabled) {
         level.update(static_cast<double>(queue.size()), static_cast<double>(queue.countFrom(CallRank::Critical)), capacity());
     }
+    scale = sequence.apply(level.scale());
 }
 
 Refusal AdmissionController::Private::refusal(RefusalReason reason) const
--- a/src/core/overload/admissionlevel.h
+++ b/src/core/overload/admissionlevel.h
@@ -10,6 +10,8 @@
 // Number of cuts within one class, and of all levels.
 inline constexpr double CutsPerClass = 256.0;
 inline constexpr double FullScale = 3 * CutsPerClass;
+// Level that admits critical calls only, and all of them.
+inline constexpr double CriticalOnlyScale = CutsPerClass;
 
 // Position of a request within its class, 0 to below 256. The integer part is the value that `AdmissionLevel::cut` refers to.
 double hashPosition(std::uint64_t requestHash);
--- a/src/core/overload/admissionoptions.h
+++ b/src/core/overload/admissionoptions.h
@@ -4,6 +4,7 @@
 #include "core/overload/concurrencylimitoptions.h"
 #include "core/overload/levelcontrolleroptions.h"
 #include "core/overload/queueorder.h"
+#include "core/overload/readclosureoptions.h"
 
 #include <cstddef>
 
@@ -14,6 +15,7 @@
 {
     ConcurrencyLimitOptions limit;
     LevelControllerOptions level;
+    ReadClosureOptions closure;
     QueueOrder order = QueueOrder::Fifo;
     // Most calls that wait, of all classes together. Bounds memory; the level keeps the queue far below it.
     std::size_t queueLimit = 2000;
@@ -25,6 +27,8 @@
     bool deadlineCheckEnabled = true;
     bool levelEnabled = true;
     bool isolationEnabled = true;
+    // If off, an internal call that is expected to be late is refused like a caller's.
+    bool internalWaitEnabled = true;
 };
 
 } // namespace wisteriafork
--- a/src/core/overload/callqueue.cpp
+++ b/src/core/overload/callqueue.cpp
@@ -125,12 +125,17 @@
     return std::nullopt;
 }
 
-std::optional<WaitingCall> CallQueue::takeExpired(TimePoint time)
+std::optional<WaitingCall> CallQueue::takeExpired(TimePoint time, const std::function<bool(const WaitingCall &)> &mayTake)
 {
-    if (m_deadlines.empty() || m_deadlines.begin()->first >= time) {
-        return std::nullopt;
+    for (const auto &[deadline, id] : m_deadlines) {
+        if (deadline >= time) {
+            break;
+        }
+        if (mayTake(m_entries.at(id).call)) {
+            return take(id);
+        }
     }
-    return take(m_deadlines.begin()->second);
+    return std::nullopt;
 }
 
 std::size_t CallQueue::size() const
--- a/src/core/overload/callqueue.h
+++ b/src/core/overload/callqueue.h
@@ -8,6 +8,7 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -35,6 +36,8 @@
     // Index of the operation; calls of a blocked operation are passed over.
     std::size_t operation = 0;
     std::uint64_t callerHash = 0;
+    // Made on behalf of an admitted request.
+    bool internal = false;
     TimePoint deadline;
 };
 
@@ -59,8 +62,8 @@
 
     // Takes the call that would be served last among the ranks below `rank`.
     std::optional<WaitingCall> takeLowestBelow(CallRank rank);
-    // Takes a call whose deadline is before `time`.
-    std::optional<WaitingCall> takeExpired(TimePoint time);
+    // Takes the first call whose deadline is before `time` and that may be taken.
+    std::optional<WaitingCall> takeExpired(TimePoint time, const std::function<bool(const WaitingCall &)> &mayTake);
 
     std::size_t size() const;
     std::size_t countFrom(CallRank least) const;
--- a/src/core/overload/edgegate.cpp
+++ b/src/core/overload/edgegate.cpp
@@ -1,6 +1,7 @@
 #include "core/overload/edgegate.h"
 
 #include "core/overload/learntlevel.h"
+#include "core/overload/readclosure.h"
 #include "core/overload/refusedrequests.h"
 #include "core/overload/tenantshares.h"
 
@@ -36,6 +37,7 @@
     struct PathState
     {
         LearntLevel level;
+        ReadClosure closure;
         // Mean time of answered calls, in seconds; 0 until known.
         double callTime = 0.0;
         TimePoint timeLearnt;
@@ -45,17 +47,23 @@
         std::size_t waiting = 0;
         std::unordered_map<std::uint64_t, std::size_t> callers;
         TenantShares shares;
-        // When a level that excludes critical calls was last reported.
-        TimePoint criticalCut;
+        // What critical calls of the service have learnt. Closes all its reads, also those that do not cause the overload.
+        ReadClosure closure;
     };
 
     Private(EdgeGateOptions gateOptions, const Clock &nodeClock) : options(gateOptions), clock(nodeClock)
     {
     }
 
+    struct BelowState
+    {
+        LearntLevel level;
+        ReadClosure closure;
+    };
+
     double scaleOf(const Path &path) const;
     double scaleBelow(const OperationId &operation) const;
-    bool takeProbe(LearntLevel &level, TimePoint criticalCut) const;
+    bool refuses(const CallDescription &call, LearntLevel &level, const ReadClosure &path, const ReadClosure &service) const;
 
     EdgeGateOptions options;
     const Clock &clock;
@@ -63,8 +71,9 @@
     std::map<Path, PathState> paths;
     std::unordered_map<ServiceId, ServiceState> services;
     // Levels of the calls that each operation of the local backend server makes.
-    std::unordered_map<OperationId, std::map<Path, LearntLevel>> below;
-    TimePoint criticalCutBelow;
+    std::unordered_map<OperationId, std::map<Path, BelowState>> below;
+    // What the calls of critical operations of the local backend server have learnt.
+    ReadClosure closureBelow;
     RefusedRequests refusedRequests{options.refusedLimit, options.refusedMemory};
 };
 
@@ -96,15 +105,19 @@
         // Half the mean: calls spread around it, and only those that certainly cannot finish are refused here.
         expected = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(known->second.callTime / 2));
     }
-    if (now + expected >= call.deadline) {
+    const bool isChecked = !call.internal && call.callClass != CallClass::Critical;
+    if (now + (isChecked ? expected : Duration(0)) >= call.deadline) {
         return refused(RefusalReason::DeadlineTooShort);
     }
     if (call.internal) {
         return std::nullopt;
     }
     const double scale = m_d->scaleOf(path);
-    if (m_d->options.levelsEnabled && !admits(scale, call.callClass, call.requestHash)
-        && !m_d->takeProbe(m_d->paths[path].level, m_d->services[call.service].criticalCut)) {
+    Private::PathState &state = m_d->paths[path];
+    const ReadClosure &closure = m_d->services[call.service].closure;
+    // The serving node hears of a change first: an old report is not enough to refuse a critical call here.
+    const bool isKnown = call.callClass != CallClass::Critical || closure.isFresh(now, m_d->options.closure);
+    if (m_d->options.levelsEnabled && isKnown && m_d->refuses(call, state.level, state.closure, closure)) {
         m_d->refusedRequests.add(call.requestHash, now);
         return refused(RefusalReason::Overloaded);
     }
@@ -130,14 +143,15 @@
     if (call.internal || !m_d->options.levelsEnabled) {
         return std::nullopt;
     }
+    if (call.callClass != CallClass::Critical && m_d->closureBelow.isClosed(m_d->clock.now(), m_d->options.closure)) {
+        return refused(RefusalReason::Overloaded);
+    }
     const auto found = m_d->below.find(call.operation);
     if (found == m_d->below.end()) {
         return std::nullopt;
     }
-    const TimePoint now = m_d->clock.now();
-    for (auto &entry : found->second) {
-        LearntLevel &level = entry.second;
-        if (!admits(level.scale(now, m_d->options), call.callClass, call.requestHash) && !m_d->takeProbe(level, m_d->criticalCutBelow)) {
+    for (auto &[path, state] : found->second) {
+        if (m_d->refuses(call, state.level, state.closure, m_d->closureBelow)) {
             return refused(RefusalReason::Overloaded);
         }
     }
@@ -174,8 +188,9 @@
     const double scale = std::min(toScale(report.level), toScale(report.levelBelow));
     Private::PathState &state = m_d->paths[path];
     state.level.learn(scale, now, m_d->options);
-    if (scale < CutsPerClass) {
-        m_d->services[call.service].criticalCut = now;
+    state.closure.learn(scale, now, m_d->options.closure);
+    if (call.callClass == CallClass::Critical) {
+        m_d->services[call.service].closure.learn(scale, now, m_d->options.closure);
     }
     if (!answered && !call.internal) {
         m_d->refusedRequests.add(call.requestHash, now);
@@ -186,8 +201,12 @@
         state.timeLearnt = now;
     }
     if (!parent.empty()) {
-        m_d->below[parent][path].learn(scale, now, m_d->options);
-        m_d->criticalCutBelow = scale < CutsPerClass ? now : m_d->criticalCutBelow;
+        Private::BelowState &below = m_d->below[parent][path];
+        below.level.learn(scale, now, m_d->options);
+        below.closure.learn(scale, now, m_d->options.closure);
+        if (call.callClass == CallClass::Critical) {
+            m_d->closureBelow.learn(scale, now, m_d->options.closure);
+        }
     }
 }
 
@@ -213,11 +232,19 @@
     return found == paths.end() ? FullScale : found->second.level.scale(clock.now(), options);
 }
 
-// No read is let through as a probe while critical calls are refused.
-bool EdgeGate::Private::takeProbe(LearntLevel &level, TimePoint criticalCut) const
+// Whether the level of a path excludes a call. `service` is what critical calls of the same service have learnt.
+bool EdgeGate::Private::refuses(const CallDescription &call, LearntLevel &level, const ReadClosure &path, const ReadClosure &service) const
 {
     const TimePoint now = clock.now();
-    return now - criticalCut >= options.levelHold && level.takeProbe(now, options);
+    const bool isAdmitted = admits(level.scale(now, options), call.callClass, call.requestHash);
+    if (call.callClass == CallClass::Critical) {
+        return !isAdmitted && path.mayRefuseCritical(now, options.closure) && !level.takeProbe(now, options);
+    }
+    // No read is let through as a probe while critical calls may be refused.
+    if (path.isClosed(now, options.closure) || service.isClosed(now, options.closure)) {
+        return true;
+    }
+    return !isAdmitted && !level.takeProbe(now, options);
 }
 
 double EdgeGate::Private::scaleBelow(const OperationId &operation) const
@@ -225,7 +252,10 @@
     double scale = FullScale;
     if (const auto found = below.find(operation); found != below.end()) {
         for (const auto &entry : found->second) {
-            scale = std::min(scale, entry.second.scale(clock.now(), options));
+            scale = std::min(scale, entry.second.level.scale(clock.now(), options));
+            if (entry.second.closure.isReported(clock.now(), options.closure)) {
+                scale = std::min(scale, CriticalOnlyScale);
+            }
         }
     }
     return scale;
--- a/src/core/overload/edgegateoptions.h
+++ b/src/core/overload/edgegateoptions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/base/clock.h"
+#include "core/overload/readclosureoptions.h"
 
 #include <chrono>
 #include <cstddef>
@@ -28,6 +29,8 @@
     std::size_t refusedLimit = 20000;
     Duration refusedMemory = std::chrono::seconds(10);
 
+    ReadClosureOptions closure;
+
     bool resendsEnabled = true;
     bool levelsEnabled = true;
     bool sharesEnabled = true;
