Admit critical calls at idle instances and open reads gradually after a closure

In the chain, one instance of the slowed service kept 5 of its 10 slots for 20 s: the latency floor was given up during a trial of the limit, which then looked confirmed.

An instance with at most half of its limit in use and an empty queue admits all critical calls. The floor is kept during a trial, and a limit below the slots grows as after a cold start once latency falls below half its floor.

--- a/src/core/overload/admissioncontroller.cpp
+++ b/src/core/overload/admissioncontroller.cpp
@@ -79,6 +79,7 @@
     void closeReads();
     bool refusesCritical();
     bool hasFreeSlot() const;
+    bool isIdle() const;
     void start(CallId id, std::size_t operation);
     void enqueue(const CallDescription &call, std::size_t operation);
     void makeRoom(CallRank rank);
@@ -256,6 +257,7 @@
     if (rank == CallRank::Critical) {
         return decideCritical(call, operation, mustWait);
     }
+    sequence.readArrived();
     if (const std::optional<Refusal> refused = checkLoad(call, operation)) {
         return {.id = call.id, .verdict = AdmissionVerdict::Refused, .refusal = *refused};
     }
@@ -364,6 +366,11 @@
     return running.size() < limit.limit();
 }
 
+bool AdmissionController::Private::isIdle() const
+{
+    return queue.size() == 0 && 2 * running.size() <= limit.limit();
+}
+
 void AdmissionController::Private::start(CallId id, std::size_t operation)
 {
     running.emplace(id, RunningCall{.operation = operation, .started = clock.now()});
@@ -426,7 +433,14 @@
     if (options.levelEnabled) {
         level.update(static_cast<double>(queue.size()), static_cast<double>(queue.countFrom(CallRank::Critical)), capacity());
     }
+    if (options.closure.enabled && isIdle()) {
+        // A server that could take them has no reason to refuse critical calls, however slowly its level opens.
+        level.relax(CriticalOnlyScale);
+    }
     scale = sequence.apply(level.scale());
+    if (scale < level.scale()) {
+        level.tighten(scale);
+    }
 }
 
 Refusal AdmissionController::Private::refusal(RefusalReason reason) const
--- a/src/core/overload/concurrencylimit.cpp
+++ b/src/core/overload/concurrencylimit.cpp
@@ -17,6 +17,8 @@
 // Halving the concurrency of a contended server brings its latency well below this share.
 constexpr double TrialConfirmed = 0.75;
 constexpr double GrowthStep = 0.1;
+// Share of the floor below which the server itself has become faster.
+constexpr double FasterRatio = 0.5;
 // Hints are followed downwards only above this growth of latency, and distrusted below it.
 constexpr double HintConfirmed = 1.25;
 
@@ -120,7 +122,9 @@
             continue;
         }
         const double mean = latency.sum / latency.count;
-        if (latency.floor <= 0.0 || now - latency.floorSeen > m_options.floorMemory) {
+        // A floor given up during a trial would make any latency look like the success of the trial.
+        const bool isOld = !m_trial && now - latency.floorSeen > m_options.floorMemory;
+        if (latency.floor <= 0.0 || isOld) {
             latency.floor = mean;
         } else if (mean < latency.floor) {
             latency.floor += FloorWeight * (mean - latency.floor);
@@ -150,6 +154,8 @@
     }
     if (ratio <= m_options.tolerance) {
         m_slowWindows = 0;
+        // A server that has become much faster is no longer contended: its limit is found again as after a cold start.
+        m_slowStart = m_slowStart || (m_options.slowStart && ratio <= FasterRatio && m_limit < m_slots);
         if (inUse) {
             grow();
         }
--- a/src/core/overload/levelcontroller.cpp
+++ b/src/core/overload/levelcontroller.cpp
@@ -101,6 +101,11 @@
     m_scale = std::min(m_scale, scale);
 }
 
+void LevelController::relax(double scale)
+{
+    m_scale = std::max(m_scale, scale);
+}
+
 AdmissionLevel LevelController::nextLevel()
 {
     if (m_scale >= FullScale) {
--- a/src/core/overload/levelcontroller.h
+++ b/src/core/overload/levelcontroller.h
@@ -27,6 +27,8 @@
 
     // Makes the level at least as strict as this at once.
     void tighten(double scale);
+    // Makes the level at least as open as this at once.
+    void relax(double scale);
 
     double scale() const
     {
--- a/src/core/overload/readclosure.cpp
+++ b/src/core/overload/readclosure.cpp
@@ -20,7 +20,7 @@
 
 bool ReadClosure::isClosed(TimePoint now, const ReadClosureOptions &options) const
 {
-    return options.enabled && isRecent(now, options.hold);
+    return options.enabled && isRecent(now, options.reportHold);
 }
 
 bool ReadClosure::isReported(TimePoint now, const ReadClosureOptions &options) const
--- a/src/core/overload/shedsequence.cpp
+++ b/src/core/overload/shedsequence.cpp
@@ -2,8 +2,18 @@
 
 #include "core/overload/admissionlevel.h"
 
+#include <algorithm>
+#include <chrono>
+
 namespace wisteriafork {
 
+namespace {
+
+// Part of the reads that may arrive at once after a closure, to start the ramp.
+constexpr double FirstStep = 16.0;
+
+} // namespace
+
 ShedSequence::ShedSequence(ReadClosureOptions options, const Clock &clock) : m_options(options), m_clock(clock)
 {
 }
@@ -19,8 +29,14 @@
         if (m_criticalRefused && now - *m_criticalRefused < m_options.hold) {
             return CriticalOnlyScale;
         }
-        m_closed.reset();
-        return wanted;
+        if (m_closed) {
+            m_closed.reset();
+            m_rampStart.reset();
+            m_opening = m_options.rampEnabled;
+        }
+        const double most = ceiling();
+        m_opening = m_opening && most < FullScale;
+        return std::min(wanted, most);
     }
     m_closed = m_closed.value_or(now);
     if (wanted < CriticalOnlyScale && !mayRefuseCritical()) {
@@ -32,6 +48,22 @@
     return wanted;
 }
 
+void ShedSequence::readArrived()
+{
+    if (m_opening && !m_rampStart) {
+        m_rampStart = m_clock.now();
+    }
+}
+
+double ShedSequence::ceiling() const
+{
+    if (!m_opening) {
+        return FullScale;
+    }
+    const Duration passed = m_rampStart ? m_clock.now() - *m_rampStart : Duration(0);
+    return std::min(FullScale, CriticalOnlyScale + FirstStep + CutsPerClass * (passed / std::chrono::duration<double>(m_options.rampTime)));
+}
+
 bool ShedSequence::mayRefuseCritical() const
 {
     return m_closed && (!m_options.enabled || m_clock.now() - *m_closed >= m_options.grace);
