Take the level in force and the index tables out of the admission controller

LevelInForce joins the level of the queueing with the order of shedding; AdmissionIndexes holds the index of each name.

--- a/src/core/overload/admissioncontroller.cpp
+++ b/src/core/overload/admissioncontroller.cpp
@@ -1,16 +1,14 @@
 #include "core/overload/admissioncontroller.h"
 
+#include "core/overload/admissionindexes.h"
 #include "core/overload/callqueue.h"
 #include "core/overload/concurrencylimit.h"
 #include "core/overload/holdingestimate.h"
 #include "core/overload/isolation.h"
-#include "core/overload/levelcontroller.h"
+#include "core/overload/levelinforce.h"
 #include "core/overload/operationprofile.h"
-#include "core/overload/shedsequence.h"
 
 #include <algorithm>
-#include <cmath>
-#include <map>
 #include <optional>
 #include <unordered_map>
 
@@ -60,24 +58,19 @@
         : options(admissionOptions)
         , clock(nodeClock)
         , limit(options.limit, clock)
-        , level(options.level, clock)
-        , sequence(options.closure, clock)
+        , level(options.level, options.closure, options.levelEnabled, clock)
         , queue(options.order, options.fairnessEnabled)
         , isolation(options.isolationShare, options.isolationEnabled)
     {
         operations.resize(1);
     }
 
-    std::size_t operationIndex(const OperationId &id) const;
-    std::size_t tenantIndex(const TenantId &id) const;
     AdmissionResult decide(const CallDescription &call);
     AdmissionResult decideCritical(const CallDescription &call, std::size_t operation, bool mustWait);
     std::optional<Refusal> checkLoad(const CallDescription &call, std::size_t operation) const;
     bool cannotFinish(const OperationProfile &operation, TimePoint deadline, double wait) const;
     double expectedWait(CallRank rank, std::size_t operation) const;
     double capacity() const;
-    void closeReads();
-    bool refusesCritical();
     bool hasFreeSlot() const;
     bool isIdle() const;
     void start(CallId id, std::size_t operation);
@@ -92,15 +85,12 @@
     AdmissionOptions options;
     const Clock &clock;
     ConcurrencyLimit limit;
-    LevelController level;
-    ShedSequence sequence;
-    // Level in force, on the scale.
-    double scale = FullScale;
+    LevelInForce level;
     CallQueue queue;
     Isolation isolation;
     std::vector<OperationProfile> operations;
-    std::map<OperationId, std::size_t> operationIndexes;
-    std::map<TenantId, std::size_t> tenantIndexes;
+    AdmissionIndexes<OperationId> operationIndexes;
+    AdmissionIndexes<TenantId> tenantIndexes;
     std::unordered_map<CallId, RunningCall> running;
     std::vector<AdmissionResult> pending;
     std::vector<bool> blocked;
@@ -115,14 +105,11 @@
 
 void AdmissionController::configure(const ServiceConfiguration &service, std::span<const TenantConfiguration> tenants)
 {
-    // Index 0 stands for calls of unknown operations and tenants. Indexes are only added, because running calls refer to them.
     for (const OperationConfiguration &operation : service.operations) {
-        const auto [entry, inserted] = m_d->operationIndexes.emplace(operation.id, m_d->operations.size());
-        if (inserted) {
-            m_d->operations.emplace_back();
-            m_d->operations.back().id = operation.id;
-        }
-        OperationProfile &profile = m_d->operations[entry->second];
+        const std::size_t index = m_d->operationIndexes.add(operation.id);
+        m_d->operations.resize(m_d->operationIndexes.size());
+        OperationProfile &profile = m_d->operations[index];
+        profile.id = operation.id;
         if (profile.running == 0) {
             profile.dependencies.clear();
             for (const ServiceId &callee : operation.calls) {
@@ -131,11 +118,11 @@
         }
     }
     for (const TenantConfiguration &tenant : tenants) {
-        m_d->tenantIndexes.emplace(tenant.id, m_d->tenantIndexes.size() + 1);
+        m_d->tenantIndexes.add(tenant.id);
     }
-    std::vector<double> weights(m_d->tenantIndexes.size() + 1, 1.0);
+    std::vector<double> weights(m_d->tenantIndexes.size(), 1.0);
     for (const TenantConfiguration &tenant : tenants) {
-        weights[m_d->tenantIndexes.at(tenant.id)] = std::max(tenant.weight, 1e-6);
+        weights[m_d->tenantIndexes.indexOf(tenant.id)] = std::max(tenant.weight, 1e-6);
     }
     m_d->queue.setTenants(std::move(weights));
     m_d->limit.setSlots(service.slots, m_d->operations.size());
@@ -218,10 +205,7 @@
     load.running = static_cast<std::uint32_t>(m_d->running.size());
     load.queued = static_cast<std::uint32_t>(m_d->queue.size());
     load.serviceTime = fromSeconds(m_d->holding.finished());
-    if (m_d->options.levelEnabled) {
-        const AdmissionLevel wanted = m_d->level.nextLevel();
-        load.level = m_d->scale == m_d->level.scale() ? wanted : fromScale(m_d->scale);
-    }
+    load.level = m_d->level.nextLevel();
     return load;
 }
 
@@ -235,21 +219,9 @@
     return m_d->queue.size();
 }
 
-std::size_t AdmissionController::Private::operationIndex(const OperationId &id) const
-{
-    const auto found = operationIndexes.find(id);
-    return found == operationIndexes.end() ? 0 : found->second;
-}
-
-std::size_t AdmissionController::Private::tenantIndex(const TenantId &id) const
-{
-    const auto found = tenantIndexes.find(id);
-    return found == tenantIndexes.end() ? 0 : found->second;
-}
-
 AdmissionResult AdmissionController::Private::decide(const CallDescription &call)
 {
-    const std::size_t operation = operationIndex(call.operation);
+    const std::size_t operation = operationIndexes.indexOf(call.operation);
     operations[operation].lastOffered = clock.now();
     const CallRank rank = options.priorityEnabled ? rankOf(call) : CallRank::Read;
     const bool isBlocked = operation < blocked.size() && blocked[operation];
@@ -257,7 +229,7 @@
     if (rank == CallRank::Critical) {
         return decideCritical(call, operation, mustWait);
     }
-    sequence.readArrived();
+    level.readOffered();
     if (const std::optional<Refusal> refused = checkLoad(call, operation)) {
         return {.id = call.id, .verdict = AdmissionVerdict::Refused, .refusal = *refused};
     }
@@ -282,7 +254,7 @@
 {
     level.arrived(call.callClass);
     const bool hopeless = options.deadlineCheckEnabled && cannotFinish(operations[operation], call.deadline, 0.0);
-    if (hopeless && (!call.internal || !options.internalWaitEnabled) && refusesCritical()) {
+    if (hopeless && (!call.internal || !options.internalWaitEnabled) && level.refusesCritical()) {
         return {.id = call.id, .verdict = AdmissionVerdict::Refused, .refusal = refusal(RefusalReason::DeadlineTooShort)};
     }
     if (!mustWait) {
@@ -295,7 +267,7 @@
         makeRoom(CallRank::Critical);
         const bool full = queue.size() >= 2 * options.queueLimit;
         const bool waits = call.internal && options.internalWaitEnabled;
-        if (refusesCritical() ? !waits || full : full) {
+        if (level.refusesCritical() ? !waits || full : full) {
             return {.id = call.id, .verdict = AdmissionVerdict::Refused, .refusal = refusal(RefusalReason::Overloaded)};
         }
     }
@@ -303,26 +275,9 @@
     return {.id = call.id, .verdict = AdmissionVerdict::Queued, .refusal = {}};
 }
 
-void AdmissionController::Private::closeReads()
-{
-    level.tighten(CriticalOnlyScale);
-    scale = sequence.apply(level.scale());
-}
-
-// Closes reads, and tells whether a critical call that the server cannot take may be refused already.
-bool AdmissionController::Private::refusesCritical()
-{
-    const bool allowed = sequence.mayRefuseCritical();
-    closeReads();
-    if (allowed) {
-        sequence.criticalRefused();
-    }
-    return allowed;
-}
-
 std::optional<Refusal> AdmissionController::Private::checkLoad(const CallDescription &call, std::size_t operation) const
 {
-    if (options.levelEnabled && !call.internal && !admits(scale, call.callClass, call.requestHash)) {
+    if (!call.internal && !level.admitsCall(call.callClass, call.requestHash)) {
         return refusal(RefusalReason::Overloaded);
     }
     const CallRank rank = options.priorityEnabled ? rankOf(call) : CallRank::Read;
@@ -384,7 +339,7 @@
 {
     queue.push({.id = call.id,
                 .rank = options.priorityEnabled ? rankOf(call) : CallRank::Read,
-                .tenant = tenantIndex(call.tenant),
+                .tenant = tenantIndexes.indexOf(call.tenant),
                 .operation = operation,
                 .callerHash = call.callerHash,
                 .internal = call.internal,
@@ -416,7 +371,7 @@
     // A call with less time left than calls take now would most likely fail further below, after work was spent on it.
     const TimePoint latest = clock.now() + fromSeconds(options.lateMargin * holding.current(clock.now()));
     const auto mayRefuse = [this](const WaitingCall &call) {
-        return !(call.internal && options.internalWaitEnabled) && (call.rank != CallRank::Critical || refusesCritical());
+        return !(call.internal && options.internalWaitEnabled) && (call.rank != CallRank::Critical || level.refusesCritical());
     };
     while (const std::optional<WaitingCall> late = queue.takeExpired(latest, mayRefuse)) {
         refuseWaiting(late->id, RefusalReason::DeadlineTooShort);
@@ -430,17 +385,7 @@
 
 void AdmissionController::Private::updateLevel()
 {
-    if (options.levelEnabled) {
-        level.update(static_cast<double>(queue.size()), static_cast<double>(queue.countFrom(CallRank::Critical)), capacity());
-    }
-    if (options.closure.enabled && isIdle()) {
-        // A server that could take them has no reason to refuse critical calls, however slowly its level opens.
-        level.relax(CriticalOnlyScale);
-    }
-    scale = sequence.apply(level.scale());
-    if (scale < level.scale()) {
-        level.tighten(scale);
-    }
+    level.update(static_cast<double>(queue.size()), static_cast<double>(queue.countFrom(CallRank::Critical)), capacity(), isIdle());
 }
 
 Refusal AdmissionController::Private::refusal(RefusalReason reason) const
