--- a/src/core/overload/admissioncontroller.cpp
+++ b/src/core/overload/admissioncontroller.cpp
@@ -1,14 +1,14 @@
 #include "core/overload/admissioncontroller.h"
 
+#include "core/overload/admissionindexes.h"
 #include "core/overload/callqueue.h"
 #include "core/overload/concurrencylimit.h"
+#include "core/overload/holdingestimate.h"
 #include "core/overload/isolation.h"
-#include "core/overload/levelcontroller.h"
+#include "core/overload/levelinforce.h"
 #include "core/overload/operationprofile.h"
 
 #include <algorithm>
-#include <cmath>
-#include <map>
 #include <optional>
 #include <unordered_map>
 
@@ -16,15 +16,11 @@
 
 namespace {
 
-// Weight of one call in the mean holding time.
+// Weight of one call in the mean holding time of its operation.
 constexpr double HoldingWeight = 0.05;
-// Ratio of holding time to the mean age of running calls. It is 2 for equal times and 1 for exponential ones.
-constexpr double AgeFactor = 1.25;
 // A holding time that was not measured for this long no longer refuses calls, so that one call measures it again.
 constexpr Duration HoldingMemory = std::chrono::seconds(1);
 constexpr Duration ShortestRetryAfter = std::chrono::seconds(1);
-// Level that admits critical calls only.
-constexpr double CriticalOnlyScale = CutsPerClass;
 
 double seconds(Duration duration)
 {
@@ -62,23 +58,21 @@
         : options(admissionOptions)
         , clock(nodeClock)
         , limit(options.limit, clock)
-        , level(options.level, clock)
+        , level(options.level, options.closure, options.levelEnabled, clock)
         , queue(options.order, options.fairnessEnabled)
         , isolation(options.isolationShare, options.isolationEnabled)
     {
         operations.resize(1);
     }
 
-    std::size_t operationIndex(const OperationId &id) const;
-    std::size_t tenantIndex(const TenantId &id) const;
     AdmissionResult decide(const CallDescription &call);
     AdmissionResult decideCritical(const CallDescription &call, std::size_t operation, bool mustWait);
     std::optional<Refusal> checkLoad(const CallDescription &call, std::size_t operation) const;
     bool cannotFinish(const OperationProfile &operation, TimePoint deadline, double wait) const;
     double expectedWait(CallRank rank, std::size_t operation) const;
     double capacity() const;
-    double currentHolding() const;
     bool hasFreeSlot() const;
+    bool isIdle() const;
     void start(CallId id, std::size_t operation);
     void enqueue(const CallDescription &call, std::size_t operation);
     void makeRoom(CallRank rank);
@@ -91,19 +85,16 @@
     AdmissionOptions options;
     const Clock &clock;
     ConcurrencyLimit limit;
-    LevelController level;
+    LevelInForce level;
     CallQueue queue;
     Isolation isolation;
     std::vector<OperationProfile> operations;
-    std::map<OperationId, std::size_t> operationIndexes;
-    std::map<TenantId, std::size_t> tenantIndexes;
+    AdmissionIndexes<OperationId> operationIndexes;
+    AdmissionIndexes<TenantId> tenantIndexes;
     std::unordered_map<CallId, RunningCall> running;
     std::vector<AdmissionResult> pending;
     std::vector<bool> blocked;
-    // Mean time that a call holds a slot, in seconds.
-    double holdingTime = 0.0;
-    // Sum of the start times of all running calls, in seconds.
-    double startSum = 0.0;
+    HoldingEstimate holding;
 };
 
 AdmissionController::AdmissionController(AdmissionOptions options, const Clock &clock) : m_d(std::make_unique<Private>(options, clock))
@@ -114,14 +105,11 @@
 
 void AdmissionController::configure(const ServiceConfiguration &service, std::span<const TenantConfiguration> tenants)
 {
-    // Index 0 stands for calls of unknown operations and tenants. Indexes are only added, because running calls refer to them.
     for (const OperationConfiguration &operation : service.operations) {
-        const auto [entry, inserted] = m_d->operationIndexes.emplace(operation.id, m_d->operations.size());
-        if (inserted) {
-            m_d->operations.emplace_back();
-            m_d->operations.back().id = operation.id;
-        }
-        OperationProfile &profile = m_d->operations[entry->second];
+        const std::size_t index = m_d->operationIndexes.add(operation.id);
+        m_d->operations.resize(m_d->operationIndexes.size());
+        OperationProfile &profile = m_d->operations[index];
+        profile.id = operation.id;
         if (profile.running == 0) {
             profile.dependencies.clear();
             for (const ServiceId &callee : operation.calls) {
@@ -130,11 +118,11 @@
         }
     }
     for (const TenantConfiguration &tenant : tenants) {
-        m_d->tenantIndexes.emplace(tenant.id, m_d->tenantIndexes.size() + 1);
+        m_d->tenantIndexes.add(tenant.id);
     }
-    std::vector<double> weights(m_d->tenantIndexes.size() + 1, 1.0);
+    std::vector<double> weights(m_d->tenantIndexes.size(), 1.0);
     for (const TenantConfiguration &tenant : tenants) {
-        weights[m_d->tenantIndexes.at(tenant.id)] = std::max(tenant.weight, 1e-6);
+        weights[m_d->tenantIndexes.indexOf(tenant.id)] = std::max(tenant.weight, 1e-6);
     }
     m_d->queue.setTenants(std::move(weights));
     m_d->limit.setSlots(service.slots, m_d->operations.size());
@@ -162,9 +150,9 @@
         const double sample = seconds(held);
         operation.holdingTime += (operation.holdingTime <= 0.0 ? 1.0 : HoldingWeight) * (sample - operation.holdingTime);
         operation.lastSample = m_d->clock.now();
-        m_d->holdingTime += (m_d->holdingTime <= 0.0 ? 1.0 : HoldingWeight) * (sample - m_d->holdingTime);
+        m_d->holding.sample(sample);
     }
-    m_d->startSum -= seconds(call.started.time_since_epoch());
+    m_d->holding.ended(call.started);
     m_d->running.erase(found);
     --operation.running;
     m_d->isolation.ended(operation);
@@ -216,8 +204,8 @@
     load.limit = m_d->limit.limit();
     load.running = static_cast<std::uint32_t>(m_d->running.size());
     load.queued = static_cast<std::uint32_t>(m_d->queue.size());
-    load.serviceTime = fromSeconds(m_d->holdingTime);
-    load.level = m_d->options.levelEnabled ? m_d->level.nextLevel() : AdmissionLevel{};
+    load.serviceTime = fromSeconds(m_d->holding.finished());
+    load.level = m_d->level.nextLevel();
     return load;
 }
 
@@ -231,21 +219,9 @@
     return m_d->queue.size();
 }
 
-std::size_t AdmissionController::Private::operationIndex(const OperationId &id) const
-{
-    const auto found = operationIndexes.find(id);
-    return found == operationIndexes.end() ? 0 : found->second;
-}
-
-std::size_t AdmissionController::Private::tenantIndex(const TenantId &id) const
-{
-    const auto found = tenantIndexes.find(id);
-    return found == tenantIndexes.end() ? 0 : found->second;
-}
-
 AdmissionResult AdmissionController::Private::decide(const CallDescription &call)
 {
-    const std::size_t operation = operationIndex(call.operation);
+    const std::size_t operation = operationIndexes.indexOf(call.operation);
     operations[operation].lastOffered = clock.now();
     const CallRank rank = options.priorityEnabled ? rankOf(call) : CallRank::Read;
     const bool isBlocked = operation < blocked.size() && blocked[operation];
@@ -253,6 +229,7 @@
     if (rank == CallRank::Critical) {
         return decideCritical(call, operation, mustWait);
     }
+    level.readOffered();
     if (const std::optional<Refusal> refused = checkLoad(call, operation)) {
         return {.id = call.id, .verdict = AdmissionVerdict::Refused, .refusal = *refused};
     }
@@ -271,12 +248,13 @@
     return {.id = call.id, .verdict = AdmissionVerdict::Queued, .refusal = {}};
 }
 
-// A critical call is refused for load only when no read is admitted any more: the first one that would have to be refused closes the level
-// for all other classes, and waits.
+// A critical call is refused for load only when reads have been closed for the grace time: the first one that would have to be refused
+// closes the level for all other classes, and waits.
 AdmissionResult AdmissionController::Private::decideCritical(const CallDescription &call, std::size_t operation, bool mustWait)
 {
     level.arrived(call.callClass);
-    if (options.deadlineCheckEnabled && cannotFinish(operations[operation], call.deadline, 0.0)) {
+    const bool hopeless = options.deadlineCheckEnabled && cannotFinish(operations[operation], call.deadline, 0.0);
+    if (hopeless && (!call.internal || !options.internalWaitEnabled) && level.refusesCritical()) {
         return {.id = call.id, .verdict = AdmissionVerdict::Refused, .refusal = refusal(RefusalReason::DeadlineTooShort)};
     }
     if (!mustWait) {
@@ -287,9 +265,9 @@
         = options.deadlineCheckEnabled && cannotFinish(operations[operation], call.deadline, expectedWait(CallRank::Critical, operation));
     if (late || queue.size() >= options.queueLimit) {
         makeRoom(CallRank::Critical);
-        const bool othersAdmitted = level.scale() > CriticalOnlyScale;
-        level.tighten(CriticalOnlyScale);
-        if (!othersAdmitted) {
+        const bool full = queue.size() >= 2 * options.queueLimit;
+        const bool waits = call.internal && options.internalWaitEnabled;
+        if (level.refusesCritical() ? !waits || full : full) {
             return {.id = call.id, .verdict = AdmissionVerdict::Refused, .refusal = refusal(RefusalReason::Overloaded)};
         }
     }
@@ -299,10 +277,13 @@
 
 std::optional<Refusal> AdmissionController::Private::checkLoad(const CallDescription &call, std::size_t operation) const
 {
-    if (options.levelEnabled && !call.internal && !admits(level.scale(), call.callClass, call.requestHash)) {
+    if (!call.internal && !level.admitsCall(call.callClass, call.requestHash)) {
         return refusal(RefusalReason::Overloaded);
     }
     const CallRank rank = options.priorityEnabled ? rankOf(call) : CallRank::Read;
+    if (call.internal && options.internalWaitEnabled) {
+        return std::nullopt;
+    }
     if (options.deadlineCheckEnabled && cannotFinish(operations[operation], call.deadline, expectedWait(rank, operation))) {
         return refusal(RefusalReason::DeadlineTooShort);
     }
@@ -313,9 +294,7 @@
 {
     const TimePoint now = clock.now();
     const bool known = now - operation.lastSample < HoldingMemory || operation.running > 0;
-    // Scaled by how much slower the running calls are than the finished ones.
-    const double slower = holdingTime > 0.0 ? currentHolding() / holdingTime : 1.0;
-    const double needed = wait + (known ? operation.holdingTime * slower : 0.0);
+    const double needed = wait + (known ? options.lateMargin * operation.holdingTime * holding.slower(now) : 0.0);
     return now + fromSeconds(needed) > deadline;
 }
 
@@ -334,28 +313,23 @@
 
 double AdmissionController::Private::capacity() const
 {
-    return holdingTime > 0.0 ? limit.limit() / currentHolding() : 0.0;
+    return holding.finished() > 0.0 ? limit.limit() / holding.current(clock.now()) : 0.0;
 }
 
-double AdmissionController::Private::currentHolding() const
+bool AdmissionController::Private::hasFreeSlot() const
 {
-    // Finished calls tell late of a slowdown, because the slow ones have not finished yet; the age of the running ones tells at once.
-    double age = 0.0;
-    if (!running.empty()) {
-        age = seconds(clock.now().time_since_epoch()) - startSum / static_cast<double>(running.size());
-    }
-    return std::max(holdingTime, AgeFactor * age);
+    return running.size() < limit.limit();
 }
 
-bool AdmissionController::Private::hasFreeSlot() const
+bool AdmissionController::Private::isIdle() const
 {
-    return running.size() < limit.limit();
+    return queue.size() == 0 && 2 * running.size() <= limit.limit();
 }
 
 void AdmissionController::Private::start(CallId id, std::size_t operation)
 {
     running.emplace(id, RunningCall{.operation = operation, .started = clock.now()});
-    startSum += seconds(clock.now().time_since_epoch());
+    holding.started(clock.now());
     ++operations[operation].running;
     isolation.started(operations[operation]);
     refreshBlocked();
@@ -365,9 +339,10 @@
 {
     queue.push({.id = call.id,
                 .rank = options.priorityEnabled ? rankOf(call) : CallRank::Read,
-                .tenant = tenantIndex(call.tenant),
+                .tenant = tenantIndexes.indexOf(call.tenant),
                 .operation = operation,
                 .callerHash = call.callerHash,
+                .internal = call.internal,
                 .deadline = call.deadline});
 }
 
@@ -394,11 +369,11 @@
         return;
     }
     // A call with less time left than calls take now would most likely fail further below, after work was spent on it.
-    const TimePoint latest = clock.now() + fromSeconds(currentHolding());
-    while (const std::optional<WaitingCall> late = queue.takeExpired(latest)) {
-        if (late->rank == CallRank::Critical) {
-            level.tighten(CriticalOnlyScale);
-        }
+    const TimePoint latest = clock.now() + fromSeconds(options.lateMargin * holding.current(clock.now()));
+    const auto mayRefuse = [this](const WaitingCall &call) {
+        return !(call.internal && options.internalWaitEnabled) && (call.rank != CallRank::Critical || level.refusesCritical());
+    };
+    while (const std::optional<WaitingCall> late = queue.takeExpired(latest, mayRefuse)) {
         refuseWaiting(late->id, RefusalReason::DeadlineTooShort);
     }
 }
@@ -410,9 +385,7 @@
 
 void AdmissionController::Private::updateLevel()
 {
-    if (options.levelEnabled) {
-        level.update(static_cast<double>(queue.size()), static_cast<double>(queue.countFrom(CallRank::Critical)), capacity());
-    }
+    level.update(static_cast<double>(queue.size()), static_cast<double>(queue.countFrom(CallRank::Critical)), capacity(), isIdle());
 }
 
 Refusal AdmissionController::Private::refusal(RefusalReason reason) const
