Open the level by a paced speed after an overload

Cause: opening by a share of the admitted rate let in the stock of resends of each part of the hash at once, and only the queue slowed it down. The levels of the instances also drifted apart, since the edges apply their mean, and each hop of a chain averaged levels for another 200 ms.

Change: the end of an overload is recognised from the rate of fresh calls; then the level opens by a speed that follows the unused part of 80 % of the capacity. A level follows the one that the edges apply. Levels from further below are averaged over 30 ms.

--- a/src/core/overload/admissioncontroller.cpp
+++ b/src/core/overload/admissioncontroller.cpp
@@ -233,7 +233,7 @@
     if (const std::optional<Refusal> refused = checkLoad(call, operation)) {
         return {.id = call.id, .verdict = AdmissionVerdict::Refused, .refusal = *refused};
     }
-    level.arrived(call.callClass);
+    level.arrived(call.callClass, call.requestHash);
     if (!mustWait) {
         start(call.id, operation);
         return {.id = call.id, .verdict = AdmissionVerdict::Run, .refusal = {}};
@@ -252,7 +252,7 @@
 // closes the level for all other classes, and waits.
 AdmissionResult AdmissionController::Private::decideCritical(const CallDescription &call, std::size_t operation, bool mustWait)
 {
-    level.arrived(call.callClass);
+    level.arrived(call.callClass, call.requestHash);
     const bool hopeless = options.deadlineCheckEnabled && cannotFinish(operations[operation], call.deadline, 0.0);
     if (hopeless && (!call.internal || !options.internalWaitEnabled) && level.refusesCritical()) {
         return {.id = call.id, .verdict = AdmissionVerdict::Refused, .refusal = refusal(RefusalReason::DeadlineTooShort)};
--- a/src/core/overload/edgegate.cpp
+++ b/src/core/overload/edgegate.cpp
@@ -187,7 +187,9 @@
     const Path path(call.service, call.operation);
     const double scale = std::min(toScale(report.level), toScale(report.levelBelow));
     Private::PathState &state = m_d->paths[path];
-    state.level.learn(scale, now, m_d->options);
+    // A level from further below was averaged there; averaging it again at each hop would delay it by the depth of the chain.
+    const Duration memory = toScale(report.levelBelow) < toScale(report.level) ? m_d->options.belowMemory : m_d->options.levelMemory;
+    state.level.learn(scale, now, memory, m_d->options);
     state.closure.learn(scale, now, m_d->options.closure);
     if (call.callClass == CallClass::Critical) {
         m_d->services[call.service].closure.learn(scale, now, m_d->options.closure);
@@ -202,7 +204,7 @@
     }
     if (!parent.empty()) {
         Private::BelowState &below = m_d->below[parent][path];
-        below.level.learn(scale, now, m_d->options);
+        below.level.learn(scale, now, memory, m_d->options);
         below.closure.learn(scale, now, m_d->options.closure);
         if (call.callClass == CallClass::Critical) {
             m_d->closureBelow.learn(scale, now, m_d->options.closure);
--- a/src/core/overload/edgegateoptions.h
+++ b/src/core/overload/edgegateoptions.h
@@ -12,6 +12,8 @@
 {
     // Time over which levels of the instances of a service are averaged.
     Duration levelMemory = std::chrono::milliseconds(200);
+    // The same for levels of services further below, which the instances have averaged already.
+    Duration belowMemory = std::chrono::milliseconds(30);
     // Without reports for this long, one call is let through to learn the level again.
     Duration levelHold = std::chrono::milliseconds(500);
     // A level that was not reported for this long is forgotten.
--- a/src/core/overload/learntlevel.cpp
+++ b/src/core/overload/learntlevel.cpp
@@ -12,10 +12,10 @@
 
 } // namespace
 
-void LearntLevel::learn(double reported, TimePoint now, const EdgeGateOptions &options)
+void LearntLevel::learn(double reported, TimePoint now, Duration memory, const EdgeGateOptions &options)
 {
     const double current = scale(now, options);
-    const double gap = m_known ? std::chrono::duration<double>(now - m_learnt) / options.levelMemory : 1e3;
+    const double gap = m_known ? std::chrono::duration<double>(now - m_learnt) / memory : 1e3;
     const double weight = std::max(LeastWeight, 1.0 - std::exp(-gap));
     m_scale = current + weight * (reported - current);
     m_learnt = now;
--- a/src/core/overload/learntlevel.h
+++ b/src/core/overload/learntlevel.h
@@ -14,7 +14,8 @@
 class LearntLevel
 {
 public:
-    void learn(double scale, TimePoint now, const EdgeGateOptions &options);
+    // `memory` is the time over which reports are averaged.
+    void learn(double scale, TimePoint now, Duration memory, const EdgeGateOptions &options);
     double scale(TimePoint now, const EdgeGateOptions &options) const;
     // True if a call that the level excludes is let through to learn the level again. Counts as that call.
     bool takeProbe(TimePoint now, const EdgeGateOptions &options);
--- a/src/core/overload/levelcontroller.cpp
+++ b/src/core/overload/levelcontroller.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace wisteriafork {
 
@@ -9,6 +10,8 @@
 
 // Share of a class that must be admitted before its arrivals say how many calls the whole class has.
 constexpr double LeastShareForDensity = 0.02;
+// The same for the rate of fresh calls, which decides on the mode and is averaged over a shorter time.
+constexpr double LeastShareForFreshDensity = 0.1;
 // Largest growth in one window, for a server that is nearly idle.
 constexpr double MostRise = 0.2;
 // A queue of this many times its target after the level has opened shows that it opened too fast.
@@ -28,9 +31,12 @@
 {
 }
 
-void LevelController::arrived(CallClass callClass)
+void LevelController::arrived(CallClass callClass, std::uint64_t requestHash)
 {
-    m_arrivals[static_cast<std::size_t>(callClass)] += 1.0;
+    const auto index = static_cast<std::size_t>(callClass);
+    m_arrivals[index] += 1.0;
+    m_spread.arrived(callClass, requestHash);
+    m_settledArrivals[index] += admits(m_base, callClass, requestHash) ? 1.0 : 0.0;
 }
 
 void LevelController::update(double queued, double queuedCritical, double capacity)
@@ -46,6 +52,51 @@
     if (capacity <= 0.0) {
         return;
     }
+    const bool recovering = queued <= capacity * seconds(m_options.targetDelay) / 2 && isRecovering(capacity);
+    if (recovering) {
+        recover(capacity, passed);
+    } else {
+        m_speed += std::min(1.0, passed / seconds(m_options.settleTime)) * (m_options.firstSpeed - m_speed);
+        hold(queued, queuedCritical, capacity, passed);
+    }
+    const double weight = std::min(1.0, passed / seconds(m_options.settleTime));
+    followSpread(weight, recovering);
+    m_settled += weight * (m_scale - m_settled);
+    m_base = std::min(m_scale, m_base + weight / 2 * (m_scale - m_base));
+}
+
+void LevelController::followSpread(double weight, bool recovering)
+{
+    const std::optional<double> spread = m_spread.scale();
+    m_spread.fade(weight);
+    if (!spread || *spread < CutsPerClass || m_scale < CutsPerClass || m_scale >= FullScale) {
+        return;
+    }
+    // An instance whose level is above that of the others does not see the calls that it admits, and would open for ever. While the level
+    // opens, resends at its edge make the spread look wider than it is.
+    if (!recovering || *spread < m_scale) {
+        m_scale += std::min(1.0, m_options.spreadGain * weight) * (*spread - m_scale);
+    }
+}
+
+bool LevelController::isRecovering(double capacity) const
+{
+    return m_scale < FullScale && std::accumulate(m_freshDensity.begin(), m_freshDensity.end(), 0.0) < capacity;
+}
+
+void LevelController::recover(double capacity, double passed)
+{
+    const double gap = m_options.recoveryUtilisation - m_arrivalRate / capacity;
+    m_speed = std::clamp(m_speed * std::exp(m_options.speedGain * gap * passed), m_options.leastSpeed, m_options.largestSpeed);
+    if (gap > 0.0) {
+        m_scale = std::min(FullScale, m_scale + m_speed * passed);
+        m_opened = m_clock.now();
+    }
+}
+
+void LevelController::hold(double queued, double queuedCritical, double capacity, double passed)
+{
+    const TimePoint now = m_clock.now();
     const double target = capacity * seconds(m_options.targetDelay);
     const double correction = (queued - target) / seconds(m_options.correctionTime);
     const double wanted = std::max(capacity - correction, capacity * m_options.leastShare);
@@ -61,7 +112,6 @@
         const double damping = std::min(1.0, passed / seconds(m_options.feedbackDelay));
         tightenBy(std::pow(ratio, damping), queuedCritical > capacity * seconds(m_options.criticalDelay));
     }
-    m_settled += std::min(1.0, passed / seconds(m_options.settleTime)) * (m_scale - m_settled);
 }
 
 void LevelController::tightenBy(double factor, bool alsoCritical)
@@ -87,7 +137,9 @@
     const double idle = std::min(1.0, windows * seconds(m_options.window) / seconds(m_options.idleRecovery));
     // Where no call arrives there is no rate to grow from, so the level opens by at least a little.
     const double least = m_arrivalRate < 1.0 ? m_scale + idle * FullScale : m_scale;
-    m_scale = std::min(FullScale, std::max(scaleForMass(admittedMass(m_scale) * growth), least));
+    // Critical calls that are refused are let in as fast as the server can take them.
+    const double most = std::max<double>(CutsPerClass, m_scale + m_options.holdSpeed * windows * seconds(m_options.window));
+    m_scale = std::min({FullScale, most, std::max(scaleForMass(admittedMass(m_scale) * growth), least)});
     m_opened = m_clock.now();
     if (isShort) {
         m_rise
@@ -121,6 +173,7 @@
 void LevelController::learnDensity(double passed)
 {
     const double weight = std::min(1.0, passed / seconds(m_options.feedbackDelay));
+    const double freshWeight = std::min(1.0, passed / seconds(m_options.freshMemory));
     double rate = 0.0;
     for (std::size_t index = 0; index < m_density.size(); ++index) {
         const double classRate = m_arrivals[index] / passed;
@@ -129,7 +182,12 @@
         if (share >= LeastShareForDensity) {
             m_density[index] += weight * (classRate / share - m_density[index]);
         }
+        const double settledShare = admittedShare(m_base, static_cast<CallClass>(index));
+        if (settledShare >= LeastShareForFreshDensity) {
+            m_freshDensity[index] += freshWeight * (m_settledArrivals[index] / passed / settledShare - m_freshDensity[index]);
+        }
         m_arrivals[index] = 0.0;
+        m_settledArrivals[index] = 0.0;
     }
     m_arrivalRate += weight * (rate - m_arrivalRate);
 }
--- a/src/core/overload/levelcontrolleroptions.h
+++ b/src/core/overload/levelcontrolleroptions.h
@@ -28,6 +28,23 @@
     double idleGain = 0.06;
     // Time after an opening in which a growing queue is taken for its effect.
     Duration settleTime = std::chrono::milliseconds(1000);
+    // Time over which the rate of fresh calls is averaged. The level recovers while that rate is below the capacity.
+    Duration freshMemory = std::chrono::milliseconds(500);
+    // Share of its distance to the level that the edges apply by which a level moves there in the settle time.
+    double spreadGain = 0.5;
+    // Share of the capacity that is used while recovering: resends of refused requests are let in only up to it, so that they add no
+    // queueing for fresh calls.
+    double recoveryUtilisation = 0.8;
+    // Speed at which the level opens at most during an overload, in units of the scale per second. It bounds what is let in while the end
+    // of the overload is not recognised yet.
+    double holdSpeed = 20.0;
+    // Speed at which the level opens while recovering, in units of the scale per second: the first one, its bounds, and its relative change
+    // per second and unit of unused or exceeded utilisation. After 10 s of a surge of three times the capacity, a unit holds resends worth
+    // 0.08 s of the capacity. With a gain of 8 the level swings where callers take 1 s to send again.
+    double firstSpeed = 2.0;
+    double leastSpeed = 0.5;
+    double largestSpeed = 100.0;
+    double speedGain = 4.0;
     // The admitted rate aimed at never falls below this share of the capacity, however long the queue is: otherwise the server would run
     // dry after the queue has drained, for as long as the level takes to open again.
     double leastShare = 0.85;
--- a/src/core/overload/levelinforce.cpp
+++ b/src/core/overload/levelinforce.cpp
@@ -7,9 +7,9 @@
 {
 }
 
-void LevelInForce::arrived(CallClass callClass)
+void LevelInForce::arrived(CallClass callClass, std::uint64_t requestHash)
 {
-    m_wanted.arrived(callClass);
+    m_wanted.arrived(callClass, requestHash);
 }
 
 void LevelInForce::readOffered()
--- a/src/core/overload/levelinforce.h
+++ b/src/core/overload/levelinforce.h
@@ -15,7 +15,7 @@
     LevelInForce(LevelControllerOptions level, ReadClosureOptions closure, bool enabled, const Clock &clock);
 
     // Counts a call that is run or queued.
-    void arrived(CallClass callClass);
+    void arrived(CallClass callClass, std::uint64_t requestHash);
     // Counts a read that was offered.
     void readOffered();
 
--- a/tests/overload/admission_test.cpp
+++ b/tests/overload/admission_test.cpp
@@ -222,6 +222,8 @@
     AdmissionOptions without = warmOptions();
     without.level.firstRise = 0.0;
     without.level.largestRise = 0.0;
+    without.level.leastSpeed = 0.0;
+    without.level.largestSpeed = 0.0;
     without.level.idleGain = 0.0;
     without.level.idleRecovery = seconds(1000000);
     CHECK(scaleDuringAndAfter(without).second < FullScale);
