Keep nodes of a cold fleet from reading the configuration service together

Cause: every node without an index read it within a window that did not know the size of the fleet, every member read its service's list since it knew no other member, and the first two callers of each service read its list within 2 s. The first reads now have exponentially rising density and are left to a peer of better rank; members ask the member whose digest they got for their list; callers spread their reads by the number of services in the index. Members pass values on along a tree by rank with three children, instead of asking the two readers.

--- a/src/core/distribution/distributionindexes.cpp
+++ b/src/core/distribution/distributionindexes.cpp
@@ -32,6 +32,7 @@
     , fetcher(options, membership, RandomEngine(random()))
     , election(options, membership, RandomEngine(random()))
     , gate(options)
+    , coldRead(options, membership, RandomEngine(random()))
     , messageBudget(options.messagesPerSecond, options.messageBurst)
     , byteBudget(options.bytesPerSecond, options.byteBurst)
     , readBudget(options.readsPerSecond, options.readBurst)
@@ -91,7 +92,7 @@
     Family &held = family(which);
     held.from = std::move(from);
     held.pullUntil = {};
-    held.nextRead = std::max(held.nextRead, clock.now() + RereadDelay + randomPart(options.blindReadWindow));
+    held.nextRead = std::max(held.nextRead, clock.now() + RereadDelay + randomPart(coldRead.spreadFor(held.index.entries().size())));
     if (which == ValueFamily::Configuration) {
         // The older version was a way round the one held back; nodes do not keep it once they have a newer one.
         fallback.reset();
--- a/src/core/distribution/distributionmessages.cpp
+++ b/src/core/distribution/distributionmessages.cpp
@@ -19,6 +19,7 @@
     for (const ReaderBeacon &beacon : message.readers) {
         beaconsChanged = election.offer(beacon, now) || beaconsChanged;
     }
+    fetcher.noteContact(message.sender);
     if (message.answers >= FirstQuestion && !ready) {
         gate.noteAnswer(from);
         if (message.sender.service == membership.self().service && message.inForce > bestInForce) {
--- a/src/core/distribution/distributionoptions.h
+++ b/src/core/distribution/distributionoptions.h
@@ -27,6 +27,8 @@
     bool antiEntropy = true;
     // Of two contents with the same version the one with the greater hash wins.
     bool resolveConflicts = true;
+    // A node without an index lets peers with a better rank read first.
+    bool coldReadElection = true;
 };
 
 // What the distribution has to know of the content of slices; supplied by the configuration component.
@@ -55,9 +57,8 @@
     Duration startAnswerTimeout = std::chrono::milliseconds(700);
     // Time after which a starting node that nobody answers goes on with what the service gives.
     Duration startPatience = std::chrono::seconds(5);
-    // A node that got no index from others reads for itself after a random part of this time, then with exponential delays up to
-    // `maxReadDelay`. A fleet that may start cold as a whole needs at least one second for each 1,000 hosts, since the service serves 2,000
-    // reads a second.
+    // A node without seeds and peers reads the index after a random part of this time; one that has any waits longer, see `ColdRead`. Later
+    // reads follow with exponential delays up to `maxReadDelay`.
     Duration blindReadWindow = std::chrono::seconds(2);
     Duration maxReadDelay = std::chrono::seconds(30);
     // A reader whose beacon has not grown for this time counts as gone.
--- a/src/core/distribution/distributionprivate.h
+++ b/src/core/distribution/distributionprivate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/distribution/coldread.h"
 #include "core/distribution/distribution.h"
 #include "core/distribution/hostlistset.h"
 #include "core/distribution/readerelection.h"
@@ -44,6 +45,8 @@
         VersionStamp conflict{};
         TimePoint nextRead{};
         unsigned reads = 0;
+        // Reads left to peers since the start.
+        unsigned deferrals = 0;
     };
     struct Waiter
     {
@@ -111,6 +114,7 @@
     ValueFetcher fetcher;
     ReaderElection election;
     StartGate gate;
+    ColdRead coldRead;
     TokenBucket messageBudget;
     TokenBucket byteBudget;
     TokenBucket readBudget;
--- a/src/core/distribution/distributiontimers.cpp
+++ b/src/core/distribution/distributiontimers.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 constexpr std::size_t BeaconFanout = 3;
-constexpr unsigned MaxBackoffDoublings = 6;
 constexpr Duration FallbackInterval = std::chrono::milliseconds(500);
 // The membership has applied the lists by then, so that all members of the own service are asked.
 constexpr Duration ListSettleTime = std::chrono::milliseconds(250);
@@ -20,7 +19,7 @@
 {
     started = now;
     nextDigest = now + randomPart(options.digestInterval);
-    const TimePoint firstRead = now + randomPart(options.blindReadWindow);
+    const TimePoint firstRead = now + coldRead.firstDelay();
     for (Family &held : families) {
         held.nextRead = firstRead;
     }
@@ -74,12 +73,18 @@
     for (const ValueFamily which : {ValueFamily::Configuration, ValueFamily::Hosts}) {
         Family &held = family(which);
         // Also after the first index: its values may no longer be published or may be held back, and no node watches before one is ready.
-        if (now < held.nextRead || !takeRead(now)) {
+        if (now < held.nextRead) {
             continue;
         }
-        const Duration delay = std::min(options.blindReadWindow * (1U << std::min(held.reads, MaxBackoffDoublings)), options.maxReadDelay);
-        ++held.reads;
-        held.nextRead = now + delay / 2 + randomPart(delay);
+        if (coldRead.isDeferred(held.deferrals)) {
+            ++held.deferrals;
+            held.nextRead = now + coldRead.deferral();
+            continue;
+        }
+        if (!takeRead(now)) {
+            continue;
+        }
+        held.nextRead = now + coldRead.nextDelay(held.reads++);
         outputs.emplace_back(ReadValue{.key = formatKey({.family = which, .service = {}})});
     }
 }
--- a/src/core/distribution/distributionvalues.cpp
+++ b/src/core/distribution/distributionvalues.cpp
@@ -94,6 +94,7 @@
 void Distribution::Private::advance()
 {
     const TimePoint now = clock.now();
+    fetcher.setSpread(coldRead.spreadFor(family(ValueFamily::Configuration).index.entries().size()));
     promote(target());
     if (fallback && slices.inForce() == fallback->stamp()) {
         fallback.reset();
--- a/src/core/distribution/valuefetcher.cpp
+++ b/src/core/distribution/valuefetcher.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 constexpr std::size_t Readers = 2;
+// Members that ask the same one for a value; with 3 a service of 31 members has 4 levels.
+constexpr std::size_t Children = 3;
 constexpr Duration MissDelay = std::chrono::milliseconds(100);
 constexpr Duration MaxMissDelay = std::chrono::seconds(2);
 constexpr Duration ServiceDelay = std::chrono::milliseconds(500);
@@ -21,6 +23,7 @@
 constexpr Duration FirstCallerPatience = std::chrono::seconds(2);
 constexpr Duration MemberPatience = std::chrono::seconds(3);
 constexpr Duration CallerPatience = std::chrono::seconds(4);
+constexpr Duration SecondReaderDelay = std::chrono::milliseconds(1500);
 constexpr Duration PatienceSpread = std::chrono::seconds(2);
 constexpr unsigned MaxBackoffDoublings = 6;
 
@@ -33,7 +36,7 @@
 } // namespace
 
 ValueFetcher::ValueFetcher(const DistributionOptions &options, const Membership &membership, RandomEngine random)
-    : m_options(options), m_membership(membership), m_random(random)
+    : m_options(options), m_membership(membership), m_random(random), m_spread(options.blindReadWindow)
 {
 }
 
@@ -109,19 +112,24 @@
         return std::chrono::duration_cast<Duration>(whole * want.spread);
     };
     if (role.unknown && role.member && family == ValueFamily::Hosts) {
-        return StartPatience + spread(m_options.blindReadWindow);
+        return StartPatience + spread(m_spread);
     }
     if (role.unknown) {
         // The own list comes first; it tells who is to read the other values.
-        return 2 * CallerPatience + spread(m_options.blindReadWindow);
+        return 2 * CallerPatience + 2 * m_spread + spread(m_spread);
     }
     if (role.member && role.rank < Readers) {
-        return ready ? Duration{0} : StartPatience;
+        return ready ? Duration{0} : StartPatience + static_cast<Duration::rep>(role.rank) * SecondReaderDelay;
     }
     if (role.member) {
-        return MemberPatience + spread(PatienceSpread);
+        return MemberPatience + (ready ? spread(PatienceSpread) : m_spread / 2 + spread(m_spread));
     }
-    return role.rank < Readers ? FirstCallerPatience + spread(PatienceSpread) : CallerPatience + spread(2 * PatienceSpread);
+    if (ready) {
+        return role.rank < Readers ? FirstCallerPatience + spread(PatienceSpread) : CallerPatience + spread(2 * PatienceSpread);
+    }
+    // In a cold fleet nobody knows a member of a called service, so its list has to be read once for each service that calls it.
+    const Duration callerSpread = std::max(PatienceSpread, m_spread / 2);
+    return role.rank == 0 ? FirstCallerPatience + spread(callerSpread) : CallerPatience + callerSpread + spread(m_spread);
 }
 
 std::optional<ValueFetcher::Request> ValueFetcher::choosePeer(const ValueKey &key, const Want &want, const Role &role)
@@ -129,36 +137,36 @@
     const ServiceId &own = m_membership.self().service;
     const bool even = want.attempts % 2 == 0;
     std::optional<Request> request;
-    if (!role.member && (role.rank < Readers ? even : want.attempts % 4 == 3)) {
+    if (role.unknown && !m_contact.name.empty()) {
+        request = Request{.key = {}, .entry = {}, .to = m_contact.name, .address = m_contact.address};
+    } else if (!role.member && (role.rank < Readers ? even : want.attempts % 4 == 3)) {
         request = anyOf(key.service);
     } else if (role.rank >= Readers && even) {
-        request = firstRanked(key, own, want.attempts / 2 % Readers);
+        request = parent(key, role);
     } else {
         request = anyOf(own);
     }
     return request ? request : anyPeer();
 }
 
-std::optional<ValueFetcher::Request> ValueFetcher::firstRanked(const ValueKey &key, const ServiceId &service, unsigned place) const
+std::optional<ValueFetcher::Request> ValueFetcher::parent(const ValueKey &key, const Role &role) const
 {
     const RequestKey rank = rankKey(key);
-    std::array<const Candidate *, Readers> best{};
-    for (const Candidate &candidate : m_membership.view(service).all) {
-        if (candidate.suspected) {
-            continue;
-        }
-        const Candidate *next = &candidate;
-        for (const Candidate *&held : best) {
-            if (next != nullptr && (held == nullptr || outranks(rank, next->name, held->name))) {
-                std::swap(held, next);
-            }
+    std::vector<const Candidate *> above;
+    for (const Candidate &candidate : m_membership.view(m_membership.self().service).all) {
+        if (!candidate.suspected && candidate.name != m_membership.self().name
+            && outranks(rank, candidate.name, m_membership.self().name)) {
+            above.push_back(&candidate);
         }
     }
-    const Candidate *chosen = best.at(place);
-    if (chosen == nullptr || chosen->name == m_membership.self().name) {
+    const std::size_t place = (role.rank - Readers) / Children;
+    if (place >= above.size()) {
         return std::nullopt;
     }
-    return Request{.key = {}, .entry = {}, .to = chosen->name, .address = chosen->peerAddress};
+    const auto chosen = above.begin() + static_cast<std::ptrdiff_t>(place);
+    std::nth_element(above.begin(), chosen, above.end(),
+                     [&](const Candidate *first, const Candidate *second) { return outranks(rank, first->name, second->name); });
+    return Request{.key = {}, .entry = {}, .to = (*chosen)->name, .address = (*chosen)->peerAddress};
 }
 
 std::optional<ValueFetcher::Request> ValueFetcher::anyOf(const ServiceId &service)
@@ -208,6 +216,9 @@
 
 void ValueFetcher::noteUnreachable(const NodeId &peer, TimePoint now)
 {
+    if (m_contact.name == peer) {
+        m_contact = {};
+    }
     for (auto &[key, want] : m_wants) {
         if (want.asked == peer) {
             want.asked = {};
@@ -216,6 +227,24 @@
     }
 }
 
+void ValueFetcher::noteContact(const Introduction &sender)
+{
+    if (sender.service != m_membership.self().service || sender.name == m_membership.self().name) {
+        return;
+    }
+    if (m_contact.name.empty()) {
+        for (auto &[key, want] : m_wants) {
+            want.due = {};
+        }
+    }
+    m_contact = sender;
+}
+
+void ValueFetcher::setSpread(Duration spread)
+{
+    m_spread = spread;
+}
+
 const IndexEntry *ValueFetcher::wanted(const ValueKey &key) const
 {
     const auto found = m_wants.find(key);
--- a/src/core/distribution/valuefetcher.h
+++ b/src/core/distribution/valuefetcher.h
@@ -5,6 +5,7 @@
 #include "core/distribution/distributionoptions.h"
 #include "core/distribution/indexentry.h"
 #include "core/distribution/valuekey.h"
+#include "core/membership/introduction.h"
 
 #include <cstddef>
 #include <map>
@@ -18,9 +19,9 @@
 class Membership;
 
 // Decides from whom to get each value that is missing. The two members of a service that rank first for its value read it from the
-// configuration service; the others of the service ask these; of the services that call it, the two that rank first ask its members, and
-// the others ask their own service, which needs the same values. So each value is read twice from the configuration service, and no node
-// sends it to more than a few others. Who gets no answer asks others, and in the end the configuration service.
+// configuration service; of the services that call it, the two that rank first ask its members. The other members of a service form a tree
+// by rank: each asks the one above it, which answers when it has the value itself. So each value is read twice from the configuration
+// service, and no node sends it to more than a few others. Who gets no answer asks others, and in the end the configuration service.
 class ValueFetcher
 {
 public:
@@ -45,6 +46,10 @@
     // The configuration service does not answer or does not have this content.
     void noteServiceMiss(const ValueKey &key, TimePoint now);
     void noteUnreachable(const NodeId &peer, TimePoint now);
+    // A message of this node arrived. While the own host list is not here, members of the own service are asked for it.
+    void noteContact(const Introduction &sender);
+    // Sets the time over which nodes that do not know their own service spread their reads.
+    void setSpread(Duration spread);
     // Entry that is wanted for the key; null if none is.
     const IndexEntry *wanted(const ValueKey &key) const;
     bool isIdle() const;
@@ -76,7 +81,8 @@
     Duration patience(ValueFamily family, const Want &want, const Role &role, bool ready) const;
     std::optional<Request> choose(const ValueKey &key, Want &want, TimePoint now, bool ready);
     std::optional<Request> choosePeer(const ValueKey &key, const Want &want, const Role &role);
-    std::optional<Request> firstRanked(const ValueKey &key, const ServiceId &service, unsigned place) const;
+    // The member of the own service that is above this node in the tree.
+    std::optional<Request> parent(const ValueKey &key, const Role &role) const;
     std::optional<Request> anyOf(const ServiceId &service);
     std::optional<Request> anyPeer();
     Duration jittered(Duration most);
@@ -85,6 +91,9 @@
     const Membership &m_membership;
     RandomEngine m_random;
     std::map<ValueKey, Want> m_wants;
+    // The last member of the own service that sent a message.
+    Introduction m_contact;
+    Duration m_spread;
 };
 
 } // namespace wisteriafork
