--- a/tests/distribution/schedule.h
+++ b/tests/distribution/schedule.h
@@ -24,6 +24,8 @@
     std::string run(const std::vector<std::uint16_t> &script);
 
 private:
+    static constexpr std::size_t Services = 2;
+    static constexpr std::size_t Instances = 3;
     // What is known of a published index version.
     struct Published
     {
@@ -47,6 +49,7 @@
         std::set<std::size_t> hearers;
     };
 
+    bool isReadyEverywhere();
     void step(std::uint16_t code);
     void publish(std::size_t service, unsigned kind);
     void restart(std::size_t node);
@@ -84,6 +87,7 @@
     std::uint64_t m_highestList = 1;
     std::string m_violation;
     bool m_partitioned = false;
+    bool m_startsReady = false;
 };
 
 } // namespace wisteriafork
