Refuse a call as not run only when no copy or attempt can have run

Only the owner may say so; the node now says 'unknown'. - A read whose first attempt ended with unknown outcome was refused as 'not run' when its retry was. - A backend server that answered 503 after a call below that was refused in the same instant counted as not having begun, because the time it had waited was zero. The attribution now keeps whether a running call has made calls.

--- a/src/core/node/callflow.cpp
+++ b/src/core/node/callflow.cpp
@@ -227,6 +227,7 @@
         refuse(state, refusal);
         return;
     }
+    state.mayHaveRun = state.mayHaveRun || refusal.kind == RefusalKind::OutcomeUnknown;
     const AttemptFailure failure = failureOf(refusal);
     if (failure == AttemptFailure::RefusedNotRun || failure == AttemptFailure::NotSent) {
         state.budget.takeBack();
@@ -235,6 +236,8 @@
     const std::optional<Duration> delay
         = m_parts.retries.decide(state.call, state.budget, failure, state.retriesMade, state.call.deadline - now);
     if (!delay) {
+        // A booking that never left this node can be retried, but another copy of it may have run: only its owner may say that none has.
+        state.mayHaveRun = state.mayHaveRun || (!state.call.idempotent && refusal.reason == RefusalReason::OwnerUnreachable);
         refuse(state, refusal);
         return;
     }
@@ -255,8 +258,12 @@
 
 void CallFlow::refuse(CallState &state, const Refusal &refusal)
 {
+    Refusal stated = refusal;
+    if (state.mayHaveRun) {
+        stated.kind = RefusalKind::OutcomeUnknown;
+    }
     m_parts.recordDecision(state, DecisionKind::Refused, {}, "no attempt is allowed or possible");
-    m_parts.actions.add(RespondRefused{.id = state.call.id, .refusal = refusal, .load = m_parts.loadReport(state.call.operation)});
+    m_parts.actions.add(RespondRefused{.id = state.call.id, .refusal = stated, .load = m_parts.loadReport(state.call.operation)});
     finish(state);
 }
 
--- a/src/core/node/callstate.h
+++ b/src/core/node/callstate.h
@@ -42,6 +42,8 @@
     DomainId failedDomain;
     AttemptBudget budget;
     unsigned retriesMade = 0;
+    // An earlier attempt may have run, so the call can no longer be refused as not run.
+    bool mayHaveRun = false;
     TimePoint sentAt;
     // The local owner has the key on record and runs it for this call.
     bool ownedRun = false;
--- a/src/core/node/localcalls.cpp
+++ b/src/core/node/localcalls.cpp
@@ -89,11 +89,10 @@
         RunLocal{.id = state.call.id, .remaining = state.call.deadline - m_parts.clock.now(), .attemptsLeft = handed.attemptsLeft});
 }
 
-Duration LocalCalls::release(CallState &state, CallOutcome outcome)
+void LocalCalls::release(CallState &state, CallOutcome outcome)
 {
     const Duration waited = m_parts.attribution.finished(state.call.id, m_parts.clock.now());
     m_parts.admission.finish(state.call.id, outcome, waited);
-    return waited;
 }
 
 void LocalCalls::endRefused(CallState &state, const Refusal &refusal)
@@ -134,7 +133,8 @@
     if (state == nullptr || state->stage != CallStage::RunningLocally) {
         return;
     }
-    const Duration waited = release(*state, outcomeOf(event.failure));
+    const bool begun = m_parts.attribution.hasCalledBelow(event.id);
+    release(*state, outcomeOf(event.failure));
     if (event.failure == ServerFailure::ConnectionBroken) {
         m_parts.crashGuard.connectionBroken(event.id);
     } else {
@@ -145,8 +145,8 @@
         m_parts.admission.serverRestarted();
     }
     Refusal refusal = refusalOf(event.failure);
-    if (waited > Duration(0)) {
-        // A server that has made calls for the request has begun to run it, whatever its status says.
+    if (begun) {
+        // A server that has made calls for the request has begun to run it, whatever its status says, and even if they took no time.
         refusal.kind = RefusalKind::OutcomeUnknown;
     }
     endRefused(*state, refusal);
--- a/src/core/node/localcalls.h
+++ b/src/core/node/localcalls.h
@@ -28,8 +28,7 @@
     void apply(CallState &state, const AdmissionResult &result);
     void start(CallState &state);
     // Takes the call off the backend server's books.
-    // Returns the time that the call spent waiting for its own calls.
-    Duration release(CallState &state, CallOutcome outcome);
+    void release(CallState &state, CallOutcome outcome);
     void endRefused(CallState &state, const Refusal &refusal);
     // Refusal of a call that waited and would start now.
     std::optional<Refusal> checkAgain(const CallState &state);
--- a/src/core/routing/callattribution.cpp
+++ b/src/core/routing/callattribution.cpp
@@ -15,6 +15,7 @@
         // Retries that may still be given to calls below, and calls still expected.
         std::uint32_t surplus = 0;
         std::uint32_t expected = 0;
+        bool calledBelow = false;
         std::size_t waiting = 0;
         TimePoint waitingSince;
         Duration waited{0};
@@ -70,6 +71,12 @@
     return waited;
 }
 
+bool CallAttribution::hasCalledBelow(CallId id) const
+{
+    const auto found = m_d->running.find(id);
+    return found != m_d->running.end() && found->second.calledBelow;
+}
+
 CallId CallAttribution::attribute(CallDescription &child, const AttributionHints &hints, TimePoint now)
 {
     child.origin = CallOrigin::LocalService;
@@ -86,6 +93,7 @@
     child.requestHash = parent->call.requestHash;
     child.deadline = parent->call.deadline;
     child.attemptsLeft = 1 + Private::splitOff(*parent);
+    parent->calledBelow = true;
     if (parent->waiting++ == 0) {
         parent->waitingSince = now;
     }
--- a/src/core/routing/callattribution.h
+++ b/src/core/routing/callattribution.h
@@ -35,6 +35,9 @@
     // The call has ended. Returns the time for which at least one of its calls was waited for.
     Duration finished(CallId id, TimePoint now);
 
+    // The running call has made calls, so the backend server has begun to run it.
+    bool hasCalledBelow(CallId id) const;
+
     // Fills in `child`, a call of the local backend server. Returns the id of the call that it belongs to, or 0 if it is not known: then
     // the call is internal, has a single attempt and keeps the deadline that it came with.
     CallId attribute(CallDescription &child, const AttributionHints &hints, TimePoint now);
