--- /dev/null
+++ b/tests/invariants/mechanisms_test.cpp
@@ -0,0 +1,41 @@
+#include "invariants/schedulecheck.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace wisteriafork;
+using namespace wisteriafork::test;
+
+namespace {
+
+constexpr int MostSchedules = 2000;
+
+} // namespace
+
+// Each test shows that the check of one invariant fails when a mechanism that guards it is off.
+TEST_GROUP(InvariantMechanisms){};
+
+TEST(InvariantMechanisms, retriesMultiplyWithoutTheBudget)
+{
+    CHECK_TRUE(isViolated(1, 1, MostSchedules, [](NodeOptions &options) {
+        options.retries.budgetEnabled = false;
+        options.retries.ratioEnabled = false;
+    }));
+}
+
+TEST(InvariantMechanisms, refusalsAsNotRunAreUntrueWithoutTheSettleTime)
+{
+    CHECK_TRUE(isViolated(4, 4, MostSchedules, [](NodeOptions &options) {
+        options.ownership.mechanisms.settleTime = false;
+        options.ownership.mechanisms.copyCheck = false;
+    }));
+}
+
+TEST(InvariantMechanisms, bookingsRunTwiceWithoutClaims)
+{
+    CHECK_TRUE(isViolated(5, 5, MostSchedules, [](NodeOptions &options) { options.ownership.mechanisms.claimAtWitness = false; }));
+}
+
+TEST(InvariantMechanisms, versionsGoBackWithoutTheirOrder)
+{
+    CHECK_TRUE(isViolated(8, 8, MostSchedules, [](NodeOptions &options) { options.distribution.mechanisms.versionOrder = false; }));
+}
--- /dev/null
+++ b/tests/invariants/simhostactions.cpp
@@ -0,0 +1,320 @@
+#include "invariants/simfleet.h"
+#include "invariants/simhost.h"
+#include "invariants/timing.h"
+
+#include <algorithm>
+#include <utility>
+
+// How the shell of a simulated node carries out what the core decides. Like the daemon's, it keeps the body of an answer only for the
+// attempt that is open.
+
+namespace wisteriafork::test {
+
+namespace {
+
+// A node waits a little longer than its peer for the peer's own refusal at the deadline.
+constexpr Duration AnswerSlack = ms(50);
+// No read that arrives within this time after a booking was refused for load may run: one window of the level.
+constexpr Duration LevelWindow = ms(50);
+
+} // namespace
+
+void SimHost::perform(const std::vector<Action> &actions)
+{
+    for (const Action &action : actions) {
+        std::visit([this](const auto &concrete) { on(concrete); }, action);
+    }
+}
+
+bool SimHost::endAttempt(CallId id, unsigned attempt)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end() || found->second.attempt != attempt || !found->second.attemptOpen) {
+        return false;
+    }
+    found->second.attemptOpen = false;
+    found->second.answer.reset();
+    return true;
+}
+
+void SimHost::expire(CallId id, unsigned attempt, Duration remaining, const Event &event)
+{
+    m_fleet.after(std::max(Duration(0), remaining), [this, life = m_life, id, attempt, event] {
+        if (life != m_life) {
+            return;
+        }
+        deliver([this, id, attempt, event] {
+            if (endAttempt(id, attempt)) {
+                handle(event);
+            }
+        });
+    });
+}
+
+void SimHost::on(const RunLocal &action)
+{
+    const auto found = m_calls.find(action.id);
+    if (found == m_calls.end()) {
+        return;
+    }
+    Call &call = found->second;
+    checkLeaving(call);
+    const unsigned attempt = ++call.attempt;
+    call.attemptOpen = true;
+    call.local = true;
+    m_server.run(call.body, call.description.requestId, [this, id = action.id, attempt, life = m_life](const ServerResult &result) {
+        if (life != m_life) {
+            return;
+        }
+        deliver([this, id, attempt, result] {
+            if (!endAttempt(id, attempt)) {
+                return;
+            }
+            if (const auto *answer = std::get_if<Answer>(&result)) {
+                m_calls.at(id).answer = *answer;
+                handle(ServerAnswered{.id = id, .status = 200, .answerBytes = 100});
+            } else {
+                handle(ServerFailed{.id = id, .failure = std::get<ServerFailure>(result)});
+            }
+        });
+    });
+    expire(action.id, attempt, action.remaining, ServerFailed{.id = action.id, .failure = ServerFailure::TimedOut});
+}
+
+void SimHost::on(const ForwardCall &action)
+{
+    const auto found = m_calls.find(action.id);
+    if (found == m_calls.end()) {
+        return;
+    }
+    Call &call = found->second;
+    const unsigned attempt = ++call.attempt;
+    const int life = m_life;
+    call.attemptOpen = true;
+    call.local = false;
+    call.peer = nullptr;
+    SimHost *target = m_fleet.find(action.address);
+    if (target == nullptr || !target->up() || !m_fleet.connected(*this, *target)) {
+        m_fleet.after(ms(1), [this, life, id = action.id, attempt, to = action.to] {
+            if (life == m_life) {
+                forwardBroken(id, attempt, to, PeerFailure::NotSent);
+            }
+        });
+        return;
+    }
+    expire(action.id, attempt, action.remaining + AnswerSlack,
+           PeerFailed{.id = action.id, .peer = action.to, .failure = PeerFailure::TimedOut});
+    Reply reply = [this, target, life, id = action.id, attempt, to = action.to](const Outcome &outcome) {
+        const bool arrives = m_fleet.connected(*target, *this);
+        m_fleet.after(m_fleet.linkDelay(), [this, life, id, attempt, to, outcome = arrives ? outcome : Outcome{}] {
+            if (life == m_life) {
+                forwardEnded(id, attempt, to, outcome);
+            }
+        });
+    };
+    CallDescription sent = action.call;
+    sent.origin = CallOrigin::Peer;
+    sent.attemptsLeft = action.attemptsLeft;
+    m_fleet.after(m_fleet.linkDelay(),
+                  [this, target, sent, reply, life, attempt, body = call.body, mode = action.mode, id = action.id,
+                   remaining = action.remaining]() mutable {
+                      if (!target->up() || !m_fleet.connected(*this, *target)) {
+                          reply({});
+                          return;
+                      }
+                      sent.deadline = m_fleet.now() + target->m_clockOffset + remaining;
+                      const int peerLife = target->m_life;
+                      const CallId peerCall = target->arrive(body, sent, m_info.name, mode, reply);
+                      if (const auto open = m_calls.find(id); life == m_life && open != m_calls.end() && open->second.attempt == attempt) {
+                          open->second.peer = target;
+                          open->second.peerLife = peerLife;
+                          open->second.peerCall = peerCall;
+                      }
+                  });
+    if (m_fleet.chance(m_fleet.schedule().broken)) {
+        m_fleet.after(ms(m_fleet.draw(30)), [this, life, id = action.id, attempt, to = action.to] {
+            if (life == m_life) {
+                forwardBroken(id, attempt, to, PeerFailure::Broken);
+            }
+        });
+    }
+}
+
+void SimHost::forwardEnded(CallId id, unsigned attempt, const NodeId &peer, const Outcome &outcome)
+{
+    deliver([this, id, attempt, peer, outcome] {
+        const bool open = endAttempt(id, attempt);
+        if (outcome.answer) {
+            if (open) {
+                m_calls.at(id).answer = outcome.answer;
+            }
+            // The event of an attempt that was given up meanwhile can still be on its way to the core.
+            handle(PeerAnswered{.id = id, .peer = peer, .status = 200, .answerBytes = 100, .load = outcome.load});
+        } else if (outcome.refusal) {
+            handle(PeerRefused{.id = id, .peer = peer, .refusal = *outcome.refusal, .load = outcome.load});
+        } else {
+            handle(PeerFailed{.id = id, .peer = peer, .failure = PeerFailure::Broken});
+        }
+    });
+}
+
+void SimHost::forwardBroken(CallId id, unsigned attempt, const NodeId &peer, PeerFailure failure)
+{
+    deliver([this, id, attempt, peer, failure] {
+        if (endAttempt(id, attempt)) {
+            handle(PeerFailed{.id = id, .peer = peer, .failure = failure});
+        }
+    });
+}
+
+void SimHost::respond(CallId id, Outcome outcome)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end() || found->second.closed) {
+        return;
+    }
+    found->second.closed = true;
+    const Reply reply = found->second.reply;
+    reply(outcome);
+}
+
+void SimHost::on(const RespondRefused &action)
+{
+    if (const auto found = m_calls.find(action.id); found != m_calls.end()) {
+        const Call &call = found->second;
+        const bool forLoad = action.refusal.reason == RefusalReason::Overloaded || action.refusal.reason == RefusalReason::ShareUsedUp;
+        if (call.body.booking && call.body.service == m_info.service.value() && !call.description.internal && forLoad && call.attempt == 0
+            && !m_fleet.judge().wasShedByServer(call.body)) {
+            // Refusals by a backend server itself reach other copies of the booking too; they are not decisions on load by the nodes.
+            m_bookingRefused = m_fleet.now();
+        }
+    }
+    respond(action.id, {.answer = std::nullopt, .refusal = action.refusal, .load = action.load});
+}
+
+void SimHost::on(const RelayAnswer &action)
+{
+    const auto found = m_calls.find(action.id);
+    if (found != m_calls.end()) {
+        const Body &body = found->second.body;
+        const Answer part{.operation = body.operation, .identity = body.identity, .whole = false};
+        respond(action.id, {.answer = found->second.answer.value_or(part), .refusal = std::nullopt, .load = action.load});
+    }
+}
+
+void SimHost::on(const StoreAnswer &action)
+{
+    const auto found = m_calls.find(action.id);
+    if (found != m_calls.end() && found->second.answer) {
+        m_stored[action.key] = *found->second.answer;
+    }
+}
+
+void SimHost::on(const RespondStored &action)
+{
+    const auto found = m_stored.find(action.key);
+    if (found == m_stored.end()) {
+        respond(action.id, {.answer = std::nullopt, .refusal = Refusal{.reason = RefusalReason::EarlierAttemptUnfinished}, .load = {}});
+    } else {
+        respond(action.id, {.answer = found->second, .refusal = std::nullopt, .load = {}});
+    }
+}
+
+void SimHost::on(const DropStoredAnswer &action)
+{
+    m_stored.erase(action.key);
+}
+
+void SimHost::on(const CancelLocal &action)
+{
+    if (const auto found = m_calls.find(action.id); found != m_calls.end() && found->second.local) {
+        found->second.attemptOpen = false;
+    }
+}
+
+void SimHost::on(const CancelForward &action)
+{
+    const auto found = m_calls.find(action.id);
+    if (found == m_calls.end() || found->second.local) {
+        return;
+    }
+    Call &call = found->second;
+    call.attemptOpen = false;
+    if (call.peer != nullptr) {
+        m_fleet.after(m_fleet.linkDelay(), [peer = call.peer, life = call.peerLife, id = call.peerCall] { peer->senderGone(life, id); });
+    }
+}
+
+void SimHost::on(const SendPeerMessage &action)
+{
+    m_fleet.sendMessage(*this, action);
+}
+
+void SimHost::on(const ReadPlatformValue &action)
+{
+    m_fleet.after(ms(2), [this, life = m_life, key = action.key] {
+        if (life != m_life) {
+            return;
+        }
+        if (const std::optional<SimPlatform::Value> value = m_fleet.readPlatform(m_index, key)) {
+            handle(PlatformValueRead{.key = key, .value = *value->text});
+        } else {
+            handle(PlatformReadFailed{.key = key});
+        }
+    });
+}
+
+void SimHost::on(const StartWatch &action)
+{
+    m_watches[action.key] = action.afterVersion;
+}
+
+void SimHost::on(const StopWatch &action)
+{
+    m_watches.erase(action.key);
+}
+
+void SimHost::on(const ScheduleWake &action)
+{
+    const Duration delay = std::max(Duration(0), Duration(action.at - m_clock.now()));
+    m_fleet.after(delay, [this, life = m_life] {
+        if (life == m_life) {
+            handle(Wake{});
+        }
+    });
+}
+
+void SimHost::on(const DrainComplete &)
+{
+    if (std::exchange(m_drained, true)) {
+        return;
+    }
+    for (const auto &[id, call] : m_calls) {
+        if (!call.closed || (call.attemptOpen && call.local)) {
+            m_fleet.judge().violated(7, m_fleet.now(), m_info.name.value() + " has drained with call " + std::to_string(id) + " in flight");
+        }
+    }
+}
+
+void SimHost::checkAdmission(const Call &call)
+{
+    const bool read = !call.body.booking && !call.description.internal;
+    if (read && m_bookingRefused && call.arrived > *m_bookingRefused && m_fleet.now() - *m_bookingRefused < LevelWindow) {
+        m_fleet.judge().violated(2, m_fleet.now(), m_info.name.value() + " runs a read after it refused a booking for load");
+    }
+}
+
+void SimHost::checkLeaving(const Call &call)
+{
+    if (!m_leavingSince) {
+        return;
+    }
+    const SimHost *sender = call.from.empty() ? this : m_fleet.find(call.from);
+    const TimePoint known = std::max({*m_leavingSince, m_steadySince, sender->steadySince(), m_fleet.platformSteadySince()});
+    if (m_fleet.now() > known + ms(LeavingBoundMs)) {
+        m_fleet.judge().violated(6, m_fleet.now(),
+                                 m_info.name.value() + " gets new work while leaving, from " + sender->info().name.value());
+    }
+}
+
+} // namespace wisteriafork::test
