Let an owner run a booking itself when another instance refuses it

An owner without a free slot sends the booking to another instance. It now offers the booking to its own backend server's admission, which closes the level for reads before it refuses a booking.

--- a/src/core/node/callflow.cpp
+++ b/src/core/node/callflow.cpp
@@ -100,7 +100,7 @@
         }
         return;
     }
-    if (m_parts.draining) {
+    if (m_parts.draining && m_parts.options.mechanisms.avoidLeaving) {
         refuse(state, {.kind = RefusalKind::NotRun, .reason = RefusalReason::Draining});
         return;
     }
@@ -116,7 +116,7 @@
 void CallFlow::placeAnywhere(CallState &state)
 {
     std::vector<NodeId> excluded = state.tried;
-    if (m_parts.draining) {
+    if (m_parts.draining && m_parts.options.mechanisms.avoidLeaving) {
         excluded.push_back(m_parts.self());
     }
     const std::optional<RouteChoice> choice
--- a/src/core/node/controlplane.cpp
+++ b/src/core/node/controlplane.cpp
@@ -265,7 +265,8 @@
     std::vector<RouteCandidate> candidates;
     for (const Candidate &candidate : m_parts.membership.view(service).all) {
         if (const MemberInfo *member = m_parts.listedMember(candidate.name)) {
-            candidates.push_back({.member = *member, .suspected = candidate.suspected, .leaving = candidate.leaving});
+            const bool leaving = candidate.leaving && m_parts.options.mechanisms.avoidLeaving;
+            candidates.push_back({.member = *member, .suspected = candidate.suspected, .leaving = leaving});
         }
     }
     m_parts.router.update(service, candidates);
--- a/src/core/node/forwardedcalls.cpp
+++ b/src/core/node/forwardedcalls.cpp
@@ -52,7 +52,8 @@
 CallState *ForwardedCalls::findForwarded(CallId id, const NodeId &peer)
 {
     CallState *state = m_parts.calls.find(id);
-    const bool current = state != nullptr && state->stage == CallStage::Forwarded && state->target == peer;
+    const bool matches = state != nullptr && (state->target == peer || !m_parts.options.mechanisms.matchAnswers);
+    const bool current = matches && state->stage == CallStage::Forwarded;
     return current ? state : nullptr;
 }
 
--- a/src/core/node/keyedcalls.cpp
+++ b/src/core/node/keyedcalls.cpp
@@ -66,8 +66,15 @@
         }
         return;
     }
-    state.ownedRun = false;
     const Refusal &refusal = std::get<AttemptRefused>(result).refusal;
+    if (refusal.kind == RefusalKind::NotRun && !state.target.empty()) {
+        // Another instance refused to run the key for this owner. Its load is no reason to refuse a booking here, where reads may still be
+        // admitted; the local backend server's own admission decides.
+        state.target = NodeId();
+        m_local.run(state);
+        return;
+    }
+    state.ownedRun = false;
     if (refusal.kind == RefusalKind::NotRun) {
         handle(ExecutionNotRun{.key = key, .reason = refusal.reason, .retryAfter = refusal.retryAfter});
     } else {
--- a/src/core/node/nodecore.cpp
+++ b/src/core/node/nodecore.cpp
@@ -71,7 +71,8 @@
 
     void reportDrain()
     {
-        if (parts.draining && !drainReported && parts.calls.size() == 0 && calls.keyedCalls().isReleased()) {
+        const bool idle = parts.calls.size() == 0 || !parts.options.mechanisms.drainWaitsForCalls;
+        if (parts.draining && !drainReported && idle && calls.keyedCalls().isReleased()) {
             drainReported = true;
             parts.actions.add(DrainComplete{});
         }
--- a/src/core/node/nodeoptions.h
+++ b/src/core/node/nodeoptions.h
@@ -5,6 +5,7 @@
 #include "core/crashguard/crashguardoptions.h"
 #include "core/distribution/distributionoptions.h"
 #include "core/membership/membershipoptions.h"
+#include "core/node/nodemechanisms.h"
 #include "core/overload/admissionoptions.h"
 #include "core/overload/edgegateoptions.h"
 #include "core/ownership/ownershipoptions.h"
@@ -32,6 +33,7 @@
     CrashGuardOptions crashGuard;
     MembershipOptions membership;
     DistributionOptions distribution;
+    NodeMechanisms mechanisms;
 };
 
 } // namespace wisteriafork
--- a/tests/node/callpath_test.cpp
+++ b/tests/node/callpath_test.cpp
@@ -171,3 +171,46 @@
     }
     CHECK_TRUE(fleet.result(fresh).answered);
 }
+
+// Guards against a booking that is called not run by a node that only could not reach its owner, while another copy of it has run.
+TEST(CallPath, callsABookingWhoseOwnerCannotBeReachedUnknown)
+{
+    // More members than tries, so that the tries run out first.
+    Fleet::Options options = makeOptions();
+    options.members = testMembers("books", 6);
+    options.members.push_back(testMembers("shop", 1).front());
+    Fleet fleet(std::move(options));
+    fleet.run(ColdStartTime);
+    for (const MemberInfo &member : testMembers("books", 6)) {
+        fleet.cut(shop, member.name);
+    }
+
+    const std::size_t request = fleet.send(shop, "books", "book", "booking-1");
+    fleet.run(3s);
+
+    CHECK_TRUE(fleet.result(request).refusal.has_value());
+    CHECK_TRUE(fleet.result(request).refusal->kind == RefusalKind::OutcomeUnknown);
+}
+
+// Guards against a read that is called not run because its last attempt was not, although the first one may have been.
+TEST(CallPath, callsAReadUnknownAfterAnAttemptThatMayHaveRun)
+{
+    Fleet fleet(makeOptions());
+    fleet.run(1s);
+    for (const MemberInfo &member : testMembers("books", 3)) {
+        fleet.crashServer(member.name);
+    }
+    fleet.restartServer(books);
+    std::size_t request = 0;
+    for (int i = 0; i < 20 && fleet.executions().empty(); ++i) {
+        request = fleet.send(shop, "books", "list", "read-" + std::to_string(i));
+        fleet.run(8ms);
+    }
+    LONGS_EQUAL(1, fleet.executions().size());
+
+    fleet.crashServer(books);
+    fleet.run(2s);
+
+    CHECK_TRUE(fleet.result(request).refusal.has_value());
+    CHECK_TRUE(fleet.result(request).refusal->kind == RefusalKind::OutcomeUnknown);
+}
--- a/tests/routing/retry_test.cpp
+++ b/tests/routing/retry_test.cpp
@@ -202,3 +202,17 @@
     attribution.childEnded(3, TimePoint(seconds(6)));
     CHECK(attribution.finished(1, TimePoint(seconds(8))) == seconds(5));
 }
+
+// Guards against a run that counts as not begun because its call below was refused in the same instant and so took no time.
+TEST(Attribution, remembersACallBelowThatTookNoTime)
+{
+    CallAttribution attribution;
+    attribution.started(makeCall(1, 3), {}, 1);
+    CHECK_FALSE(attribution.hasCalledBelow(1));
+
+    CallDescription child = makeCall(2, 0);
+    attribution.attribute(child, {.requestId = "r1", .traceId = {}}, TimePoint(seconds(1)));
+    attribution.childEnded(2, TimePoint(seconds(1)));
+
+    CHECK_TRUE(attribution.hasCalledBelow(1));
+}
