--- a/src/core/node/keyedcalls.cpp
+++ b/src/core/node/keyedcalls.cpp
@@ -140,6 +140,10 @@
     if (list != m_parts.hostLists.end()) {
         hostListChanged(list->second);
     }
+    if (m_stopRequested) {
+        // The planned stop began before the first configuration.
+        handle(StopRequested{});
+    }
 }
 
 void KeyedCalls::hostListChanged(const HostList &list)
@@ -160,6 +164,7 @@
 
 void KeyedCalls::stop()
 {
+    m_stopRequested = true;
     handle(StopRequested{});
 }
 
--- a/src/core/node/keyedcalls.h
+++ b/src/core/node/keyedcalls.h
@@ -66,6 +66,7 @@
     std::unique_ptr<Ownership> m_ownership;
     OpenCopies m_openCopies;
     bool m_released = false;
+    bool m_stopRequested = false;
 };
 
 } // namespace wisteriafork
--- a/tests/invariants/mechanisms_test.cpp
+++ b/tests/invariants/mechanisms_test.cpp
@@ -22,6 +22,16 @@
     }));
 }
 
+TEST(InvariantMechanisms, bookingsAreRefusedBeforeReadsWithoutPriority)
+{
+    CHECK_TRUE(isViolated(2, 2, MostSchedules, [](NodeOptions &options) { options.admission.priorityEnabled = false; }));
+}
+
+TEST(InvariantMechanisms, answersAreNotWholeWhenThoseOfEarlierAttemptsCount)
+{
+    CHECK_TRUE(isViolated(3, 3, MostSchedules, [](NodeOptions &options) { options.mechanisms.matchAnswers = false; }));
+}
+
 TEST(InvariantMechanisms, refusalsAsNotRunAreUntrueWithoutTheSettleTime)
 {
     CHECK_TRUE(isViolated(4, 4, MostSchedules, [](NodeOptions &options) {
@@ -35,6 +45,16 @@
     CHECK_TRUE(isViolated(5, 5, MostSchedules, [](NodeOptions &options) { options.ownership.mechanisms.claimAtWitness = false; }));
 }
 
+TEST(InvariantMechanisms, leavingServersGetWorkWhenNobodyAvoidsThem)
+{
+    CHECK_TRUE(isViolated(6, 6, MostSchedules, [](NodeOptions &options) { options.mechanisms.avoidLeaving = false; }));
+}
+
+TEST(InvariantMechanisms, plannedStopsCutRequestsWhenTheyDoNotWait)
+{
+    CHECK_TRUE(isViolated(7, 7, MostSchedules, [](NodeOptions &options) { options.mechanisms.drainWaitsForCalls = false; }));
+}
+
 TEST(InvariantMechanisms, versionsGoBackWithoutTheirOrder)
 {
     CHECK_TRUE(isViolated(8, 8, MostSchedules, [](NodeOptions &options) { options.distribution.mechanisms.versionOrder = false; }));
