--- a/bench/ownership/main.cpp
+++ b/bench/ownership/main.cpp
@@ -1,6 +1,7 @@
 #include "core/base/hashing.h"
 #include "core/base/manualclock.h"
 #include "core/ownership/ownership.h"
+#include "ownership/claimtraffic.h"
 
 #include <algorithm>
 #include <chrono>
@@ -121,6 +122,7 @@
 
 int main()
 {
+    bench::printClaimTraffic();
     std::cout << "skew of rendezvous hashing over " << Keys << " keys\n";
     for (const std::size_t count : {3U, 4U, 31U}) {
         printSkew(count);
