Let an excluded node join again within its process

Cause: a node that was fenced, for example after a wrong host list, refused every booking until its process was restarted: KeyedCalls only noted the exclusion. It now starts a new Ownership with a later incarnation at the next tick, which joins like a new process; the host list goes on to name the incarnation of the process, and members take the later one as a witness in its place. Measured: excludedNodeJoinsAgainInTheSameProcess 0 answers without and 1 with the rejoin; joinsAgainInTheSameProcessAfterAnExclusion with whole nodes. Conclusion: exclusion costs a join. Retention changes, handover of answers, splitting and rejoining after an undone drain are open.

--- a/src/core/node/keyedcalls.cpp
+++ b/src/core/node/keyedcalls.cpp
@@ -110,6 +110,8 @@
 {
     OwnershipOptions options = m_parts.options.ownership;
     const EnvironmentBounds &bounds = m_parts.configuration.current()->bounds;
+    options.processIncarnation = options.self.incarnation;
+    options.self.incarnation += m_exclusions;
     options.hostListLag = bounds.hostListLag;
     options.isolationBound = bounds.isolationBound;
     options.maximumRetention = Duration(0);
@@ -128,6 +130,11 @@
     if (m_ownership) {
         return;
     }
+    startOwnership();
+}
+
+void KeyedCalls::startOwnership()
+{
     m_ownership = std::make_unique<Ownership>(ownershipOptions(), m_parts.clock);
     const auto list = m_parts.hostLists.find(m_parts.options.self.service);
     if (list != m_parts.hostLists.end()) {
@@ -148,6 +155,11 @@
 void KeyedCalls::tick()
 {
     m_openCopies.tick();
+    if (m_ownership && m_ownership->excluded() && !m_stopping) {
+        // The new incarnation joins like that of a new process and remembers nothing; the fenced one has lost its keys.
+        ++m_exclusions;
+        startOwnership();
+    }
     handle(OwnershipTick{});
 }
 
@@ -158,12 +170,13 @@
 
 void KeyedCalls::stop()
 {
+    m_stopping = true;
     handle(StopRequested{});
 }
 
 bool KeyedCalls::isReleased() const
 {
-    return m_released || !m_ownership;
+    return m_released || !m_ownership || (m_stopping && m_ownership->excluded());
 }
 
 void KeyedCalls::handle(const OwnershipInput &input)
@@ -273,7 +286,8 @@
 
 void KeyedCalls::on(const OwnershipExcluded &)
 {
-    m_released = true;
+    // Replaced at the next tick, or at once released if the node stops.
+    m_released = m_stopping;
 }
 
 void KeyedCalls::refuse(CallState &state, const Refusal &refusal)
--- a/src/core/node/keyedcalls.h
+++ b/src/core/node/keyedcalls.h
@@ -26,7 +26,7 @@
     void closed(const CallState &state);
 
     void receive(const NodeId &from, const OwnershipMessage &message);
-    // Starts the local owner with the waiting times of the first configuration.
+    // Starts the local owner with the waiting times of the configuration.
     void configure();
     void hostListChanged(const HostList &list);
     void unreachable(const NodeId &member);
@@ -43,6 +43,7 @@
 
 private:
     OwnershipOptions ownershipOptions() const;
+    void startOwnership();
     void decide(CallState &state);
     void handle(const OwnershipInput &input);
     void on(const RunKey &output);
@@ -68,6 +69,9 @@
     std::unique_ptr<Ownership> m_ownership;
     OpenCopies m_openCopies;
     bool m_released = false;
+    bool m_stopping = false;
+    // Incarnations of the local owner that were excluded.
+    Incarnation m_exclusions = 0;
 };
 
 } // namespace wisteriafork
--- a/src/core/ownership/joinprocess.cpp
+++ b/src/core/ownership/joinprocess.cpp
@@ -83,7 +83,7 @@
 
 bool JoinProcess::usable(const MemberId &witness) const
 {
-    return !m_lostWitnesses.contains(witness) && !m_view.excluded(witness) && !m_view.listSaysGone(witness);
+    return !m_lostWitnesses.contains(witness) && !m_view.excluded(witness) && !m_view.ended(witness) && !m_view.listSaysGone(witness);
 }
 
 std::vector<MemberAddress> JoinProcess::candidates() const
@@ -91,8 +91,11 @@
     std::vector<MemberAddress> live;
     std::vector<MemberAddress> leaving;
     for (const MemberInfo &member : m_view.list().members) {
-        const MemberAddress address{
+        MemberAddress address{
             .id = {.name = member.name, .incarnation = member.incarnation}, .domain = member.domain, .peerAddress = member.peerAddress};
+        if (const OwnerEntry *successor = m_view.successor(address.id)) {
+            address = successor->address;
+        }
         if (member.name == m_options.self.name || !usable(address.id)) {
             continue;
         }
@@ -104,7 +107,7 @@
     }();
 }
 
-std::vector<MemberAddress> JoinProcess::needed() const
+std::vector<MemberAddress> JoinProcess::needed(TimePoint now) const
 {
     std::map<MemberId, MemberAddress> result;
     const auto add = [this, &result](const MemberAddress &address) {
@@ -114,7 +117,12 @@
     };
     if (!joined()) {
         for (const MemberInfo &member : m_view.list().members) {
-            if (member.name != m_options.self.name) {
+            // A listed incarnation that has ended cannot acknowledge, and nobody may know that it was excluded. As in a fence, its keys are
+            // waited out.
+            const OwnerEntry *entry = m_view.find({.name = member.name, .incarnation = member.incarnation});
+            const bool waitedOut
+                = entry != nullptr && !entry->known && entry->endedAt && now - *entry->endedAt >= m_options.maximumRetention;
+            if (member.name != m_options.self.name && !waitedOut) {
                 add({.id = {.name = member.name, .incarnation = member.incarnation},
                      .domain = member.domain,
                      .peerAddress = member.peerAddress});
@@ -125,8 +133,8 @@
         add(address);
     }
     for (const auto &[id, address] : m_accepters) {
-        // A member that has not joined itself may still fence this one, and must then know its terms.
-        if (!m_view.listSaysGone(id)) {
+        // A member that has not joined itself may still fence this one, and must then know its terms; one that has ended fences nobody.
+        if (!m_view.listSaysGone(id) && !m_view.ended(id)) {
             add(address);
         }
     }
@@ -176,8 +184,12 @@
     const bool due = m_probeTimer.due(now);
     bool all = true;
     for (const MemberAddress &member : members) {
-        const auto answer = m_probeAnswers.find(member.id);
-        if (answer != m_probeAnswers.end() && now - answer->second < validity) {
+        // A later incarnation in the process of a listed one answers in its place.
+        const bool answered = std::any_of(m_probeAnswers.begin(), m_probeAnswers.end(), [&](const auto &answer) {
+            return answer.first.name == member.id.name && answer.first.incarnation >= member.id.incarnation
+                && now - answer.second < validity;
+        });
+        if (answered) {
             continue;
         }
         all = false;
@@ -231,7 +243,7 @@
     }
     sendCommits(now, messages);
     if (needsNewTerm()) {
-        if (!joined() && !m_pending && !probeAll(needed(), now, messages)) {
+        if (!joined() && !m_pending && !probeAll(needed(now), now, messages)) {
             return false;
         }
         startTerm(candidates());
@@ -239,7 +251,7 @@
     if (!m_pending) {
         return false;
     }
-    const std::vector<MemberAddress> members = needed();
+    const std::vector<MemberAddress> members = needed(now);
     if (complete(members, now)) {
         m_inUse.push_back(*m_pending);
         m_pending.reset();
--- a/src/core/ownership/joinprocess.h
+++ b/src/core/ownership/joinprocess.h
@@ -48,7 +48,7 @@
 
 private:
     std::vector<MemberAddress> candidates() const;
-    std::vector<MemberAddress> needed() const;
+    std::vector<MemberAddress> needed(TimePoint now) const;
     bool usable(const MemberId &witness) const;
     bool needsNewTerm() const;
     void startTerm(const std::vector<MemberAddress> &candidates);
--- a/src/core/ownership/ownership.cpp
+++ b/src/core/ownership/ownership.cpp
@@ -60,7 +60,7 @@
     : m_options(std::move(options))
     , m_clock(clock)
     , m_self{.name = m_options.self.name, .incarnation = m_options.self.incarnation}
-    , m_view(addressOf(m_options.self))
+    , m_view(addressOf(m_options.self), m_options.processIncarnation != 0 ? m_options.processIncarnation : m_self.incarnation)
     , m_witnesses(m_self, m_options.maximumWitnessRecords)
     , m_claims(m_options)
     , m_join(m_options, m_view, clock.now())
@@ -220,9 +220,11 @@
         return;
     }
     m_excluded = true;
+    // Runs go on; the process answers their own calls when they end.
     m_records.forEach([this](const RequestKey &key, Record &record) {
-        if (record.state != RecordState::Running) {
-            refuseWaiting(key, record, RefusalKind::OutcomeUnknown, RefusalReason::OwnerNotReady);
+        refuseWaiting(key, record, RefusalKind::OutcomeUnknown, RefusalReason::OwnerNotReady);
+        if (record.state == RecordState::Answered) {
+            m_outputs.emplace_back(DropAnswer{key});
         }
     });
     retryHeldCalls();
--- a/src/core/ownership/ownershipoptions.h
+++ b/src/core/ownership/ownershipoptions.h
@@ -31,6 +31,9 @@
 {
     // This instance: name, incarnation, service, failure domain and peer address.
     MemberInfo self;
+    // Incarnation of the process, which the host list names. It is lower than that of `self` after an excluded incarnation has been
+    // replaced within the process; 0 if they are the same.
+    Incarnation processIncarnation = 0;
     // Longest retention time of the service's operations.
     Duration maximumRetention{std::chrono::seconds(100)};
     Duration hostListLag{std::chrono::seconds(30)};
--- a/src/core/ownership/ownershipoutput.h
+++ b/src/core/ownership/ownershipoutput.h
@@ -79,7 +79,8 @@
 {
 };
 
-// Another member has fenced this incarnation. It stays an owner of nothing; the daemon goes on with a new incarnation.
+// Another member has fenced this incarnation. It stays an owner of nothing; the process goes on with a new `Ownership` of a later
+// incarnation.
 struct OwnershipExcluded
 {
 };
--- a/src/core/ownership/ownerview.cpp
+++ b/src/core/ownership/ownerview.cpp
@@ -13,7 +13,7 @@
 
 } // namespace
 
-OwnerView::OwnerView(MemberAddress self) : m_self(std::move(self))
+OwnerView::OwnerView(MemberAddress self, Incarnation processIncarnation) : m_self(std::move(self)), m_processIncarnation(processIncarnation)
 {
 }
 
@@ -44,10 +44,16 @@
 bool OwnerView::listNamesSelf() const
 {
     return std::any_of(m_list.members.begin(), m_list.members.end(), [this](const MemberInfo &member) {
-        return member.name == m_self.id.name && member.incarnation == m_self.id.incarnation;
+        return member.name == m_self.id.name && member.incarnation == m_processIncarnation;
     });
 }
 
+bool OwnerView::ended(const MemberId &id) const
+{
+    const OwnerEntry *entry = find(id);
+    return entry != nullptr && entry->endedAt.has_value();
+}
+
 bool OwnerView::listSaysGone(const MemberId &id) const
 {
     const OwnerEntry *entry = find(id);
@@ -69,6 +75,23 @@
     return found == m_entries.end() ? nullptr : &found->second;
 }
 
+const OwnerEntry *OwnerView::successor(const MemberId &earlierId) const
+{
+    const OwnerEntry *earlier = find(earlierId);
+    if (earlier == nullptr || !(earlier->excluded || earlier->endedAt)) {
+        return nullptr;
+    }
+    const OwnerEntry *latest = nullptr;
+    for (const auto &[id, entry] : m_entries) {
+        const bool follows = id.name == earlierId.name && id.incarnation > earlierId.incarnation
+            && entry.address.peerAddress == earlier->address.peerAddress;
+        if (follows && entry.known && !entry.excluded && (latest == nullptr || id.incarnation > latest->address.id.incarnation)) {
+            latest = &entry;
+        }
+    }
+    return latest;
+}
+
 OwnerEntry &OwnerView::note(const MemberAddress &address)
 {
     OwnerEntry &entry = m_entries[address.id];
--- a/src/core/ownership/ownerview.h
+++ b/src/core/ownership/ownerview.h
@@ -32,12 +32,12 @@
 class OwnerView
 {
 public:
-    explicit OwnerView(MemberAddress self);
+    OwnerView(MemberAddress self, Incarnation processIncarnation);
 
     // Keeps the list if it is newer than the one held; returns whether it was.
     bool takeList(const HostList &list);
     const HostList &list() const;
-    // True if the list held names this incarnation.
+    // True if the list held names the process of this incarnation.
     bool listNamesSelf() const;
     // True if the list held lacks the incarnation or names a later one of the instance, and is not older than the list in which the
     // incarnation saw itself.
@@ -45,6 +45,11 @@
 
     const MemberAddress &self() const;
     const OwnerEntry *find(const MemberId &id) const;
+    // True if it was proved that the incarnation has ended.
+    bool ended(const MemberId &id) const;
+    // The latest incarnation that followed an excluded or ended one at its address; null if there is none. The host list may go on to name
+    // the earlier one, if that is the incarnation of the process.
+    const OwnerEntry *successor(const MemberId &earlierId) const;
     // Entry of a member, made if there is none.
     OwnerEntry &note(const MemberAddress &address);
     // True if joins of the incarnation are refused: it is barred or excluded, or a later incarnation is known.
@@ -74,6 +79,7 @@
     bool reportable(const OwnerEntry &entry, TimePoint now) const;
 
     MemberAddress m_self;
+    Incarnation m_processIncarnation;
     HostList m_list;
     std::map<MemberId, OwnerEntry> m_entries;
 };
--- a/tests/node/callpath_test.cpp
+++ b/tests/node/callpath_test.cpp
@@ -1,5 +1,7 @@
 #include "node/fleet.h"
 
+#include "core/ownership/ownership.h"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace wisteriafork;
@@ -171,3 +173,20 @@
     }
     CHECK_TRUE(fleet.result(fresh).answered);
 }
+
+// Guards against a node that refuses bookings until its process restarts after the host list dropped it by mistake.
+TEST(CallPath, joinsAgainInTheSameProcessAfterAnExclusion)
+{
+    Fleet fleet(makeOptions());
+    fleet.run(ColdStartTime);
+    const std::vector<MemberInfo> all = testMembers("books", 3);
+    fleet.publishHostList("books", {all.begin() + 1, all.end()});
+    fleet.run(8s);
+    CHECK_TRUE(fleet.core(books).ownership()->stage() == OwnerStage::Joining);
+
+    fleet.publishHostList("books", all);
+    fleet.run(8s);
+
+    CHECK_FALSE(fleet.core(books).ownership()->excluded());
+    CHECK_TRUE(fleet.core(books).ownership()->stage() == OwnerStage::Joined);
+}
--- a/tests/ownership/scenarios_test.cpp
+++ b/tests/ownership/scenarios_test.cpp
@@ -173,6 +173,72 @@
     }
 }
 
+namespace {
+
+// Node 0 is dropped from the list for a while although it is alive, and is fenced. Returns the answers of a key that it ranks first for.
+std::size_t answersAfterExclusion(bool rejoins)
+{
+    Schedule schedule = quiet(4);
+    schedule.rejoins = rejoins;
+    Fleet fleet(schedule, {});
+    fleet.settle();
+    const RequestKey before = fleet.keyRanking({0, 1, 2, 3});
+    fleet.clientSends(before, 0);
+    fleet.runFor(ms(300));
+    LONGS_EQUAL(1, fleet.judge().answers(before));
+    fleet.dropFromList(0, ms(1000));
+    fleet.runFor(ms(2500));
+    // The new incarnation must not run again what the excluded one ran.
+    fleet.clientSends(before, 0);
+    fleet.runFor(ms(RetentionMs));
+    const RequestKey after = fleet.keyRanking({0, 3, 2, 1});
+    fleet.clientSends(after, 0);
+    fleet.runFor(ms(300));
+    checkVerdict(fleet);
+    return fleet.judge().answers(after);
+}
+
+} // namespace
+
+// Guards against a node that stays without ownership until its process restarts once another member has fenced it.
+TEST(Scenarios, excludedNodeJoinsAgainInTheSameProcess)
+{
+    LONGS_EQUAL(1, answersAfterExclusion(true));
+    LONGS_EQUAL(0, answersAfterExclusion(false));
+}
+
+// Guards against an owner that waits for ever for the acknowledgement of an incarnation that was excluded before it had joined. Found by
+// the random schedules.
+TEST(Scenarios, excludedJoinerIsNotWaitedFor)
+{
+    Schedule schedule = quiet(3, 2305);
+    schedule.claimBatchMs = 0;
+    schedule.faults = {{FaultKind::WrongDrop, 374, 4, 20}, {FaultKind::Kill, 563, 0, 20}};
+    schedule.requests = {{444, {{0, 0}}}, {551, {{12, 0}}}};
+    Fleet fleet(schedule, {});
+    fleet.settle();
+    fleet.play();
+    STRCMP_EQUAL("", fleet.keysWithoutAnswer().c_str());
+    checkVerdict(fleet);
+}
+
+// Guards against a service that stays blocked because the only member that knew of an exclusion is lost while the excluded one joins again:
+// the host list goes on to name the excluded incarnation. Found by the random schedules.
+TEST(Scenarios, exclusionThatNobodyRemembersIsWaitedOut)
+{
+    for (const std::uint64_t seed : {0U, 91U, 212U}) {
+        Schedule schedule = quiet(2, seed);
+        schedule.claimBatchMs = 0;
+        schedule.faults = {{FaultKind::WrongDrop, 0, 3, 25}, {FaultKind::Kill, 303, 0, 20}};
+        schedule.requests = {{23, {{0, 0}}}};
+        Fleet fleet(schedule, {});
+        fleet.settle();
+        fleet.play();
+        STRCMP_EQUAL("", fleet.keysWithoutAnswer().c_str());
+        checkVerdict(fleet);
+    }
+}
+
 // Guards against a key that another side runs during a partition, and against a side that stops although owner and witness are on it.
 TEST(Scenarios, partitionKeepsKeysWithTheirOwner)
 {
--- a/tests/ownership/schedule.h
+++ b/tests/ownership/schedule.h
@@ -66,6 +66,8 @@
     // Per mille of runs refused before they start, and with unknown outcome.
     int notRun = 0;
     int unknown = 0;
+    // Excluded members go on with a new incarnation.
+    bool rejoins = true;
     // Longest time for which claims wait to share a message.
     int claimBatchMs = 5;
     int retentionMs = RetentionMs;
--- a/tests/ownership/simnode.cpp
+++ b/tests/ownership/simnode.cpp
@@ -32,6 +32,7 @@
     m_info.incarnation = incarnation;
     m_clock.set(m_fleet.now() + m_clockOffset);
     m_ownership = std::make_unique<Ownership>(m_fleet.options(m_info), m_clock);
+    m_ownerIncarnation = incarnation;
     m_copies = std::make_unique<OpenCopies>(m_clock);
     // A process reads the list before it serves.
     m_list = m_fleet.publishedList();
@@ -56,6 +57,16 @@
     }
 }
 
+void SimNode::rejoin()
+{
+    OwnershipOptions options = m_fleet.options(m_info);
+    options.processIncarnation = m_info.incarnation;
+    options.self.incarnation = m_fleet.nextIncarnation();
+    m_ownerIncarnation = options.self.incarnation;
+    m_ownership = std::make_unique<Ownership>(options, m_clock);
+    handle(ServiceListRead{m_list});
+}
+
 void SimNode::pause(Duration duration)
 {
     if (!m_up || m_paused) {
@@ -260,7 +271,7 @@
 
 void SimNode::execute(const RunKey &run)
 {
-    m_fleet.judge().ran(run.key, m_fleet.now(), m_info.name.value() + "#" + std::to_string(m_info.incarnation));
+    m_fleet.judge().ran(run.key, m_fleet.now(), m_info.name.value() + "#" + std::to_string(m_ownerIncarnation));
     const bool lost = m_fleet.chance(m_fleet.schedule().unknown);
     m_fleet.after(m_fleet.upTo(60), [this, run, lost, life = m_life] {
         if (life != m_life) {
@@ -290,7 +301,7 @@
 void SimNode::output(const RefuseCall &refuse)
 {
     if (refuse.refusal.kind == RefusalKind::NotRun) {
-        m_fleet.judge().refusedNotRun(refuse.key, m_fleet.now(), m_info.name.value() + "#" + std::to_string(m_info.incarnation));
+        m_fleet.judge().refusedNotRun(refuse.key, m_fleet.now(), m_info.name.value() + "#" + std::to_string(m_ownerIncarnation));
     }
     finish(refuse.call, {.answer = std::nullopt, .refusal = refuse.refusal});
 }
@@ -351,12 +362,15 @@
 
 void SimNode::output(const OwnershipExcluded & /*excluded*/)
 {
-    // The daemon goes on with a new incarnation in the same process.
-    m_fleet.after(ms(1), [this, life = m_life] {
-        if (life == m_life) {
-            m_fleet.restart(m_index);
-        }
-    });
+    if (m_leaving) {
+        output(OwnershipReleased{});
+    } else if (m_fleet.schedule().rejoins) {
+        m_fleet.after(ms(1), [this, life = m_life] {
+            if (life == m_life) {
+                deliver([this] { rejoin(); });
+            }
+        });
+    }
 }
 
 } // namespace wisteriafork::test
--- a/tests/ownership/simnode.h
+++ b/tests/ownership/simnode.h
@@ -43,6 +43,8 @@
     void start(Incarnation incarnation);
     void kill();
     void stop();
+    // Goes on with a new incarnation of the ownership in the same process; the host list keeps the incarnation of the process.
+    void rejoin();
     void pause(Duration duration);
     // Pauses before the next output is carried out.
     void pauseBeforeSend(Duration duration);
@@ -85,6 +87,7 @@
     Fleet &m_fleet;
     int m_index;
     MemberInfo m_info;
+    Incarnation m_ownerIncarnation = 0;
     Duration m_clockOffset;
     ManualClock m_clock;
     std::unique_ptr<Ownership> m_ownership;
