--- a/src/admin/adminjson.cpp
+++ b/src/admin/adminjson.cpp
@@ -1,8 +1,8 @@
 #include "admin/adminjson.h"
 
+#include "core/base/refusalname.h"
 #include "core/config/callclassname.h"
 #include "core/config/findings.h"
-#include "core/base/refusalname.h"
 
 namespace wisteriafork {
 
--- a/src/core/node/keyedcalls.h
+++ b/src/core/node/keyedcalls.h
@@ -26,11 +26,12 @@
     void closed(const CallState &state);
 
     void receive(const NodeId &from, const OwnershipMessage &message);
-    // Starts the local owner with the waiting times of the first configuration.
+    // Starts the local owner with the waiting times of the configuration.
     void configure();
     void hostListChanged(const HostList &list);
     void unreachable(const NodeId &member);
     void tick();
+    void wake();
     void stop();
     bool isReleased() const;
 
@@ -42,6 +43,7 @@
 
 private:
     OwnershipOptions ownershipOptions() const;
+    void startOwnership();
     void decide(CallState &state);
     void handle(const OwnershipInput &input);
     void on(const RunKey &output);
@@ -52,6 +54,7 @@
     void on(const SendOwnershipMessage &output);
     void on(const KeepAnswer &output);
     void on(const DropAnswer &output);
+    void on(const WakeOwnership &output);
     void on(const OwnershipReleased &output);
     void on(const OwnershipExcluded &output);
     // Another instance with a free slot for a run that the local backend server has none for; empty if there is none.
@@ -66,7 +69,9 @@
     std::unique_ptr<Ownership> m_ownership;
     OpenCopies m_openCopies;
     bool m_released = false;
-    bool m_stopRequested = false;
+    bool m_stopping = false;
+    // Incarnations of the local owner that were excluded.
+    Incarnation m_exclusions = 0;
 };
 
 } // namespace wisteriafork
--- a/src/core/ownership/ownership.cpp
+++ b/src/core/ownership/ownership.cpp
@@ -60,7 +60,7 @@
     : m_options(std::move(options))
     , m_clock(clock)
     , m_self{.name = m_options.self.name, .incarnation = m_options.self.incarnation}
-    , m_view(addressOf(m_options.self))
+    , m_view(addressOf(m_options.self), m_options.processIncarnation != 0 ? m_options.processIncarnation : m_self.incarnation)
     , m_witnesses(m_self, m_options.maximumWitnessRecords)
     , m_claims(m_options)
     , m_join(m_options, m_view, clock.now())
@@ -148,6 +148,11 @@
     maintain();
 }
 
+void Ownership::Private::handle(const OwnershipWake & /*input*/)
+{
+    // The claims that are due are sent after each input.
+}
+
 void Ownership::Private::handle(const StopRequested & /*input*/)
 {
     if (m_leaving) {
@@ -202,6 +207,11 @@
     for (auto &[witness, claim] : m_claims.due(m_clock.now(), tick)) {
         reply(witness.name, std::move(claim));
     }
+    const std::optional<TimePoint> end = m_claims.windowEnd();
+    if (end && end != m_wakeAt) {
+        m_outputs.emplace_back(WakeOwnership{.at = *end});
+    }
+    m_wakeAt = end;
 }
 
 void Ownership::Private::becomeExcluded()
@@ -210,9 +220,11 @@
         return;
     }
     m_excluded = true;
+    // Runs go on; the process answers their own calls when they end.
     m_records.forEach([this](const RequestKey &key, Record &record) {
-        if (record.state != RecordState::Running) {
-            refuseWaiting(key, record, RefusalKind::OutcomeUnknown, RefusalReason::OwnerNotReady);
+        refuseWaiting(key, record, RefusalKind::OutcomeUnknown, RefusalReason::OwnerNotReady);
+        if (record.state == RecordState::Answered) {
+            m_outputs.emplace_back(DropAnswer{key});
         }
     });
     retryHeldCalls();
--- a/src/core/ownership/ownershipoutput.h
+++ b/src/core/ownership/ownershipoutput.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/base/clock.h"
 #include "core/base/refusal.h"
 #include "core/base/requestkey.h"
 #include "core/ownership/ownershipmessage.h"
@@ -67,18 +68,25 @@
     RequestKey key;
 };
 
+// Give the input `OwnershipWake` at this local time.
+struct WakeOwnership
+{
+    TimePoint at;
+};
+
 // A planned stop is complete: nothing runs and every member has the records.
 struct OwnershipReleased
 {
 };
 
-// Another member has fenced this incarnation. It stays an owner of nothing; the daemon goes on with a new incarnation.
+// Another member has fenced this incarnation. It stays an owner of nothing; the process goes on with a new `Ownership` of a later
+// incarnation.
 struct OwnershipExcluded
 {
 };
 
 using OwnershipOutput = std::variant<RunKey, WaitForAttempt, ReplayAnswer, RefuseCall, RedirectCall, SendOwnershipMessage, KeepAnswer,
-                                     DropAnswer, OwnershipReleased, OwnershipExcluded>;
+                                     DropAnswer, WakeOwnership, OwnershipReleased, OwnershipExcluded>;
 using OwnershipOutputs = std::vector<OwnershipOutput>;
 
 } // namespace wisteriafork
--- a/tests/observability/outcomes_test.cpp
+++ b/tests/observability/outcomes_test.cpp
@@ -1,8 +1,8 @@
 #include "core/base/manualclock.h"
+#include "core/base/refusalname.h"
 #include "observability/metrics.h"
 #include "observability/outcomes.h"
 #include "observability/recentload.h"
-#include "core/base/refusalname.h"
 
 #include <set>
 #include <string>
