--- a/tests/invariants/simhost.h
+++ b/tests/invariants/simhost.h
@@ -79,7 +79,7 @@
     void expire(CallId id, unsigned attempt, Duration remaining, const Event &event);
     void forwardEnded(CallId id, unsigned attempt, const NodeId &peer, const Outcome &outcome);
     void forwardBroken(CallId id, unsigned attempt, const NodeId &peer, PeerFailure failure);
-    void respond(CallId id, Outcome outcome);
+    void respond(CallId id, const Outcome &outcome);
     void checkRefusal(const Call &call, const RespondRefused &action);
     void checkAdmission(const Call &call);
     void checkLeaving(const Call &call);
--- a/tests/invariants/simhostactions.cpp
+++ b/tests/invariants/simhostactions.cpp
@@ -166,7 +166,7 @@
     });
 }
 
-void SimHost::respond(CallId id, Outcome outcome)
+void SimHost::respond(CallId id, const Outcome &outcome)
 {
     const auto found = m_calls.find(id);
     if (found == m_calls.end() || found->second.closed) {
