Share the reading of HTTP connections

Cause: httpclientconnection.cpp and httpserverconnection.cpp held the same wait, read buffer and end of input. Change: SocketInput holds them once.

--- a/src/net/httpclientconnection.cpp
+++ b/src/net/httpclientconnection.cpp
@@ -6,14 +6,6 @@
 
 namespace wisteriafork {
 
-namespace {
-
-constexpr std::size_t ReadChunk = std::size_t{64} * 1024;
-// One buffer per thread, so that idle connections hold none.
-thread_local std::array<char, ReadChunk> readBuffer;
-
-} // namespace
-
 void HttpClientJob::cancel()
 {
     if (m_finished.exchange(true)) {
@@ -139,30 +131,21 @@
 
 void HttpClientConnection::waitForInput()
 {
-    if (m_waiting || m_phase == Phase::Closed) {
-        return;
+    if (m_phase != Phase::Closed) {
+        m_socketInput.wait(m_socket, [self = shared_from_this()](std::string_view input) { self->onReceived(input); });
     }
-    m_waiting = true;
-    m_socket.async_wait(Socket::wait_read, [self = shared_from_this()](const ErrorCode &error) { self->onReadable(error); });
 }
 
-void HttpClientConnection::onReadable(const ErrorCode &error)
+void HttpClientConnection::onReceived(std::string_view input)
 {
-    m_waiting = false;
     if (m_phase == Phase::Closed) {
         return;
     }
-    ErrorCode readError = error;
-    const std::size_t size = error ? 0 : m_socket.read_some(asio::buffer(readBuffer), readError);
-    if (readError == asio::error::would_block) {
-        waitForInput();
-        return;
-    }
-    if (readError || size == 0 || m_phase != Phase::Running) {
+    if (input.empty() || m_phase != Phase::Running) {
         fail(ExchangeError::Broken);
         return;
     }
-    onInput(std::string_view(readBuffer.data(), size));
+    onInput(input);
     waitForInput();
 }
 
--- a/src/net/httpclientconnection.h
+++ b/src/net/httpclientconnection.h
@@ -5,6 +5,7 @@
 #include "net/httpclient.h"
 #include "net/lazytimer.h"
 #include "net/responsereader.h"
+#include "net/socketinput.h"
 
 #include <atomic>
 #include <memory>
@@ -86,7 +87,7 @@
     void onConnected(const ErrorCode &error);
     void sendRequest();
     void waitForInput();
-    void onReadable(const ErrorCode &error);
+    void onReceived(std::string_view input);
     void onInput(std::string_view input);
     void answerComplete(bool inputLeft);
     void deadlineReached();
@@ -96,6 +97,7 @@
     HttpClientOptions m_options;
     std::weak_ptr<HttpClientPool> m_pool;
     Socket m_socket;
+    SocketInput m_socketInput;
     LazyTimer m_timer;
     ResponseReader m_reader;
     std::shared_ptr<HttpClientJob> m_job;
@@ -105,7 +107,6 @@
     std::string m_unparsed;
     Phase m_phase = Phase::New;
     bool m_writing = false;
-    bool m_waiting = false;
 };
 
 } // namespace wisteriafork
--- a/src/net/httpserverconnection.cpp
+++ b/src/net/httpserverconnection.cpp
@@ -11,9 +11,6 @@
 
 // Input beyond this is not read while a request is in progress; the sender then waits.
 constexpr std::size_t MaxPipelinedBytes = std::size_t{64} * 1024;
-constexpr std::size_t ReadChunk = std::size_t{64} * 1024;
-// Bodies are read in chunks of this size from one buffer per thread, so that idle connections hold none.
-thread_local std::array<char, ReadChunk> readBuffer;
 // Time for which input is discarded after the last answer of a connection.
 constexpr std::chrono::seconds LingerTime{2};
 // Time for which an unused connection stays open after `stop`. A request may be on its way on it; closing at once was seen to break off
@@ -84,31 +81,22 @@
 
 void HttpServerConnection::waitForInput()
 {
-    if (m_waiting || m_phase == Phase::Closed || m_input.size() > MaxPipelinedBytes) {
-        return;
+    if (m_phase != Phase::Closed && m_input.size() <= MaxPipelinedBytes) {
+        m_socketInput.wait(m_socket, [self = shared_from_this()](std::string_view input) { self->onReceived(input); });
     }
-    m_waiting = true;
-    m_socket.async_wait(Socket::wait_read, [self = shared_from_this()](const ErrorCode &error) { self->onReadable(error); });
 }
 
-void HttpServerConnection::onReadable(const ErrorCode &error)
+void HttpServerConnection::onReceived(std::string_view input)
 {
-    m_waiting = false;
     if (m_phase == Phase::Closed) {
         return;
     }
-    ErrorCode readError = error;
-    const std::size_t size = error ? 0 : m_socket.read_some(asio::buffer(readBuffer), readError);
-    if (readError == asio::error::would_block) {
-        waitForInput();
-        return;
-    }
-    if (readError || size == 0) {
+    if (input.empty()) {
         inputEnded();
         return;
     }
     if (m_phase != Phase::Lingering) {
-        m_input.append(readBuffer.data(), size);
+        m_input.append(input);
     }
     if (m_phase == Phase::Reading) {
         processInput();
--- a/src/net/httpserverconnection.h
+++ b/src/net/httpserverconnection.h
@@ -4,6 +4,7 @@
 #include "net/lazytimer.h"
 #include "net/requestreader.h"
 #include "net/serverexchange.h"
+#include "net/socketinput.h"
 
 #include <atomic>
 #include <functional>
@@ -52,7 +53,7 @@
     };
 
     void waitForInput();
-    void onReadable(const ErrorCode &error);
+    void onReceived(std::string_view input);
     void inputEnded();
     void processInput();
     void startRequest();
@@ -66,6 +67,7 @@
     void close();
 
     Socket m_socket;
+    SocketInput m_socketInput;
     std::shared_ptr<HttpServerShared> m_shared;
     RequestReader m_reader;
     LazyTimer m_timer;
@@ -76,7 +78,6 @@
     HttpResponse m_response;
     std::shared_ptr<Exchange> m_exchange;
     Phase m_phase = Phase::Reading;
-    bool m_waiting = false;
     bool m_keepAlive = true;
 };
 
--- /dev/null
+++ b/src/net/socketinput.cpp
@@ -0,0 +1,24 @@
+#include "net/socketinput.h"
+
+#include <array>
+
+namespace wisteriafork {
+
+namespace {
+
+constexpr std::size_t ReadChunk = std::size_t{64} * 1024;
+thread_local std::array<char, ReadChunk> readBuffer;
+
+} // namespace
+
+std::optional<std::string_view> SocketInput::readAvailable(Socket &socket, const ErrorCode &waitError)
+{
+    ErrorCode error = waitError;
+    const std::size_t size = error ? 0 : socket.read_some(asio::buffer(readBuffer), error);
+    if (error == asio::error::would_block) {
+        return std::nullopt;
+    }
+    return error ? std::string_view() : std::string_view(readBuffer.data(), size);
+}
+
+} // namespace wisteriafork
