--- a/tests/distribution/scenarios_test.cpp
+++ b/tests/distribution/scenarios_test.cpp
@@ -131,7 +131,7 @@
 // Guards against a service that is overrun by watches: two readers per failure domain with two keys each.
 TEST(FleetScenarios, watchWithTwoReadersInEachDomain)
 {
-    constexpr std::size_t Bound = 2 * 2 * Domains;
+    constexpr std::size_t Bound = std::size_t{2} * 2 * Domains;
     CHECK_COMPARE(watchesAfterStart({}), <=, Bound);
     CHECK_COMPARE(watchesAfterStart({.readerElection = false}), >, Bound);
 }
