--- a/src/net/connectionacceptor.h
+++ b/src/net/connectionacceptor.h
@@ -28,7 +28,7 @@
 
     static std::shared_ptr<ConnectionAcceptor> create(asio::io_context &context, Callbacks callbacks)
     {
-        const std::shared_ptr<ConnectionAcceptor> acceptor(new ConnectionAcceptor(std::move(callbacks)));
+        std::shared_ptr<ConnectionAcceptor> acceptor(new ConnectionAcceptor(std::move(callbacks)));
         const std::weak_ptr<ConnectionAcceptor> weak = acceptor;
         const auto accepted = [weak](Socket socket) {
             if (const auto self = weak.lock()) {
