Derive the release of an excluded owner in one place

Cause: the handler of an exclusion stored in m_released what isReleased derives from the planned stop and the state of the owner.

--- a/src/core/node/keyedcalls.cpp
+++ b/src/core/node/keyedcalls.cpp
@@ -297,8 +297,7 @@
 
 void KeyedCalls::on(const OwnershipExcluded &)
 {
-    // Replaced at the next tick, or at once released if the node stops.
-    m_released = m_stopping;
+    // The next tick replaces the excluded owner; in a planned stop `isReleased` sees that it is excluded.
 }
 
 void KeyedCalls::refuse(CallState &state, const Refusal &refusal)
