Let the handler alone own a request in progress

Cause: a server connection and a peer session kept their requests, which keep the connection. When the event loop ended with a request in progress, neither was freed: LeakSanitizer reported 20 blocks in net_test, PeerSession.tellsBrokenFromNotSent. Ruled out: the acceptor and the transports, which the report names only as the places of allocation. Before: net_test fails in the address,undefined build; after: 23 of 23 there, without a report. Conclusion: the connection now refers weakly to what the handler owns.

--- a/src/net/httpserverconnection.cpp
+++ b/src/net/httpserverconnection.cpp
@@ -107,7 +107,7 @@
 void HttpServerConnection::inputEnded()
 {
     // A sender that closes its half of the connection has given up on the answer.
-    const std::shared_ptr<Exchange> exchange = m_exchange;
+    const std::shared_ptr<Exchange> exchange = m_exchange.lock();
     const bool answering = m_phase == Phase::Answering;
     close();
     if (answering && exchange) {
@@ -173,7 +173,7 @@
 
 void HttpServerConnection::answer(Exchange &exchange, HttpResponse response)
 {
-    if (m_phase != Phase::Answering || m_exchange.get() != &exchange) {
+    if (m_phase != Phase::Answering || m_exchange.lock().get() != &exchange) {
         return;
     }
     const bool answersHead = exchange.request->method == "HEAD";
--- a/src/net/httpserverconnection.h
+++ b/src/net/httpserverconnection.h
@@ -76,7 +76,8 @@
     std::string m_input;
     std::string m_head;
     HttpResponse m_response;
-    std::shared_ptr<Exchange> m_exchange;
+    // Request in progress. It is owned by the handler and keeps the connection; owning it here would be a cycle.
+    std::weak_ptr<Exchange> m_exchange;
     Phase m_phase = Phase::Reading;
     bool m_keepAlive = true;
 };
--- a/src/net/peerserversession.cpp
+++ b/src/net/peerserversession.cpp
@@ -76,9 +76,11 @@
     if (found == m_exchanges.end()) {
         return;
     }
-    const std::shared_ptr<Exchange> exchange = found->second;
+    const std::shared_ptr<Exchange> exchange = found->second.lock();
     m_exchanges.erase(found);
-    m_handler.handleGone(*exchange);
+    if (exchange) {
+        m_handler.handleGone(*exchange);
+    }
 }
 
 void PeerServerSession::answer(StreamId stream, HttpResponse response)
@@ -92,9 +94,11 @@
 
 void PeerServerSession::connectionClosed()
 {
-    const std::unordered_map<StreamId, std::shared_ptr<Exchange>> exchanges = std::exchange(m_exchanges, {});
-    for (const auto &[stream, exchange] : exchanges) {
-        m_handler.handleGone(*exchange);
+    const std::unordered_map<StreamId, std::weak_ptr<Exchange>> exchanges = std::exchange(m_exchanges, {});
+    for (const auto &[stream, owned] : exchanges) {
+        if (const std::shared_ptr<Exchange> exchange = owned.lock()) {
+            m_handler.handleGone(*exchange);
+        }
     }
 }
 
--- a/src/net/peerserversession.h
+++ b/src/net/peerserversession.h
@@ -33,7 +33,8 @@
 
     ServerHandler &m_handler;
     std::shared_ptr<std::atomic<std::size_t>> m_sessions;
-    std::unordered_map<StreamId, std::shared_ptr<Exchange>> m_exchanges;
+    // Requests in progress. They are owned by the handler and keep the session; owning them here would be a cycle.
+    std::unordered_map<StreamId, std::weak_ptr<Exchange>> m_exchanges;
     std::string m_remoteAddress;
     // Bounds the time for authentication.
     LazyTimer m_acceptTimer;
