Free calls of the model that have ended or are in flight at its end

Cause: a call that waits for one below holds it, and that one holds the handler of the reply, which holds the first.

--- a/src/lab/model/modelnode.cpp
+++ b/src/lab/model/modelnode.cpp
@@ -69,6 +69,14 @@
     forward(call);
 }
 
+ModelNode::~ModelNode()
+{
+    // A call below holds the handler of its reply, which holds the call that waits for it.
+    for (const auto &[id, call] : m_served) {
+        call->child = nullptr;
+    }
+}
+
 void ModelNode::cancelOutgoing(const Outgoing &call)
 {
     if (call->ended) {
--- a/src/lab/model/modelnode.h
+++ b/src/lab/model/modelnode.h
@@ -24,6 +24,9 @@
 public:
     // `service` is the number of the instance's service.
     ModelNode(Model &model, std::size_t service, const MemberInfo &self);
+    ~ModelNode();
+    ModelNode(const ModelNode &) = delete;
+    ModelNode &operator=(const ModelNode &) = delete;
 
     void configure(const std::vector<ServiceConfiguration> &services, const std::vector<std::vector<RouteCandidate>> &candidates);
 
--- a/src/lab/model/modelserver.cpp
+++ b/src/lab/model/modelserver.cpp
@@ -44,6 +44,7 @@
     call->ended = true;
     if (call->child != nullptr) {
         m_hooks.cancelBelow(call->child);
+        call->child = nullptr;
     }
     release(call);
 }
@@ -63,6 +64,7 @@
             m_hooks.worked(*call->send, m_events.now() - call->workSince);
         }
         call->ended = true;
+        call->child = nullptr;
         m_hooks.ended(call, ReplyKind::Broken);
     }
 }
@@ -124,6 +126,7 @@
 void ModelServer::end(const Call &call, ReplyKind kind)
 {
     call->ended = true;
+    call->child = nullptr;
     release(call);
     m_hooks.ended(call, kind);
 }
