--- a/tests/observability/eventlog_test.cpp
+++ b/tests/observability/eventlog_test.cpp
@@ -31,7 +31,7 @@
 // Rows of the table in docs/events.md by number: name, severity, fields.
 std::map<std::string, std::string> documentedEvents()
 {
-    const auto path = std::filesystem::path(__FILE__).parent_path() / "../../docs/events.md";
+    const auto path = std::filesystem::path(WISTERIAFORK_SOURCE_DIR) / "docs/events.md";
     std::ifstream file(path);
     std::map<std::string, std::string> events;
     std::string line;
@@ -111,7 +111,7 @@
 // Guards against an alarm that leaves the operator without advice.
 TEST(EventLog, explainsEachAlarmToOperators)
 {
-    std::ifstream file(std::filesystem::path(__FILE__).parent_path() / "../../docs/operations.md");
+    std::ifstream file(std::filesystem::path(WISTERIAFORK_SOURCE_DIR) / "docs/operations.md");
     const std::string page{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
     for (const EventDescription &event : eventCatalogue()) {
         if (event.severity >= LogSeverity::Warning) {
