Move the callers of the overload model into a class of their own

ModelCallers now draws the requests, sends them and sends them again; Model keeps nodes, links, time and counts. The conversions between durations and seconds, which graphspec.cpp repeated, stand in modelseconds.h.

--- a/src/lab/model/graphspec.cpp
+++ b/src/lab/model/graphspec.cpp
@@ -1,5 +1,7 @@
 #include "lab/model/graphspec.h"
 
+#include "lab/model/modelseconds.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -7,11 +9,6 @@
 
 namespace {
 
-double seconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 // Mean time of a call with all calls below, with links between failure domains on the way.
 double holdingTime(const GraphSpec &graph, std::size_t service, std::size_t operation)
 {
--- a/src/lab/model/model.cpp
+++ b/src/lab/model/model.cpp
@@ -1,6 +1,10 @@
 #include "lab/model/model.h"
 
+#include "lab/model/modelcallers.h"
+#include "lab/model/modelseconds.h"
+
 #include <algorithm>
+#include <optional>
 #include <random>
 #include <utility>
 
@@ -12,16 +16,6 @@
 // A critical call that is refused this long after a read was admitted counts as refused beside reads.
 constexpr Duration BesideReads = std::chrono::milliseconds(100);
 
-double seconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
-Duration fromSeconds(double value)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
-}
-
 std::vector<ServiceConfiguration> configurationOf(const GraphSpec &graph)
 {
     std::vector<ServiceConfiguration> services;
@@ -47,37 +41,23 @@
     return services;
 }
 
-CallTree treeOf(const GraphSpec &graph, std::size_t service, std::size_t operation, std::size_t &count)
-{
-    CallTree tree{.service = service, .operation = operation, .index = count++, .children = {}};
-    for (const CallSpec &call : graph.services[service].operations[operation].calls) {
-        tree.children.push_back(treeOf(graph, call.service, call.operation, count));
-    }
-    return tree;
-}
-
 } // namespace
 
 class Model::Private
 {
 public:
-    Private(GraphSpec graphSpec, ModelOptions modelOptions, CallerLoad callerLoad, std::uint64_t seed)
-        : graph(std::move(graphSpec)), options(modelOptions), load(callerLoad), random(seed)
+    Private(GraphSpec graphSpec, ModelOptions modelOptions, std::uint64_t seed)
+        : graph(std::move(graphSpec)), options(modelOptions), random(seed)
     {
     }
 
     void buildNodes(Model &model);
-    void beginRequests();
-    void begin();
-    void send(const std::shared_ptr<CallerRequest> &request);
-    void sendEnded(const std::shared_ptr<RequestSend> &attempt, bool complete, bool timedOut);
     void tick();
     double uniform();
     Duration linkDelay(const DomainId &from, const DomainId &to);
 
     GraphSpec graph;
     ModelOptions options;
-    CallerLoad load;
     RandomEngine random;
     EventQueue events;
     TimePoint start = events.now();
@@ -85,25 +65,19 @@
     std::vector<std::unique_ptr<ModelNode>> nodes;
     std::unordered_map<NodeId, std::size_t> nodeIndexes;
     std::vector<ServiceConfiguration> configuration;
-    std::vector<CallTree> trees;
-    std::vector<std::size_t> treeSizes;
     std::vector<TimePoint> readAdmitted;
     CallId lastCallId = 0;
-    std::uint64_t lastRequest = 0;
+    std::optional<ModelCallers> callers;
 };
 
 Model::Model(GraphSpec graph, ModelOptions options, CallerLoad load, std::uint64_t seed)
-    : m_d(std::make_unique<Private>(std::move(graph), options, load, seed))
+    : m_d(std::make_unique<Private>(std::move(graph), options, seed))
 {
     m_d->configuration = configurationOf(m_d->graph);
-    for (const EntrySpec &entry : m_d->graph.entries) {
-        std::size_t count = 0;
-        m_d->trees.push_back(treeOf(m_d->graph, entry.service, entry.operation, count));
-        m_d->treeSizes.push_back(count);
-    }
     m_d->readAdmitted.resize(m_d->graph.services.size());
     m_d->buildNodes(*this);
-    m_d->beginRequests();
+    m_d->callers.emplace(*this, load);
+    m_d->callers->start();
     m_d->tick();
 }
 
@@ -282,105 +256,6 @@
     }
 }
 
-// Poisson arrivals, with the rate of the time at which the next request is drawn.
-void Model::Private::beginRequests()
-{
-    const Duration passed = events.now() - start;
-    const double rate = passed >= load.surgeStart && passed < load.surgeEnd ? load.surgeRate : load.baseRate;
-    std::exponential_distribution<double> gap(rate);
-    events.after(fromSeconds(gap(random)), [this] {
-        begin();
-        beginRequests();
-    });
-}
-
-void Model::Private::begin()
-{
-    double draw = uniform();
-    std::size_t entry = 0;
-    double shares = 0.0;
-    for (const EntrySpec &spec : graph.entries) {
-        shares += spec.share;
-    }
-    draw *= shares;
-    while (entry + 1 < graph.entries.size() && draw >= graph.entries[entry].share) {
-        draw -= graph.entries[entry].share;
-        ++entry;
-    }
-    auto request = std::make_shared<CallerRequest>();
-    request->tree = &trees[entry];
-    request->callClass = graph.services[trees[entry].service].operations[trees[entry].operation].callClass;
-    request->number = ++lastRequest;
-    request->callerHash = random() % load.callers;
-    request->firstSent = events.now();
-    request->domain = random() % graph.domains.size();
-    request->runs.resize(treeSizes[entry]);
-    const auto index = static_cast<std::size_t>((events.now() - start) / metrics.interval);
-    metrics.intervals.resize(std::max(metrics.intervals.size(), index + 1));
-    ++metrics.intervals[index].begun;
-    send(request);
-}
-
-void Model::Private::send(const std::shared_ptr<CallerRequest> &request)
-{
-    auto attempt = std::make_shared<RequestSend>();
-    attempt->request = request;
-    attempt->sent = events.now();
-    attempt->runs.resize(request->runs.size());
-    auto call = std::make_shared<OutgoingCall>();
-    call->call.id = ++lastCallId;
-    call->call.requestId = std::to_string(request->number) + "." + std::to_string(lastCallId);
-    call->call.service = configuration[request->tree->service].id;
-    call->call.operation = configuration[request->tree->service].operations[request->tree->operation].id;
-    call->call.callClass = request->callClass;
-    call->call.idempotent = graph.services[request->tree->service].operations[request->tree->operation].idempotent;
-    call->call.callerHash = request->callerHash;
-    // A multiplicative hash of the request's number: fixed over its sends and over its chain.
-    call->call.requestHash = request->number * 0x9e3779b97f4a7c15ULL;
-    call->call.deadline = events.now() + graph.callerWait;
-    call->place = request->tree;
-    call->send = attempt;
-    const std::size_t entry = random() % nodes.size();
-    ++metrics.intervals.back().sends;
-    call->reply = [this, attempt](const Reply &reply) {
-        events.after(graph.callerDelay,
-                     [this, attempt, complete = reply.kind == ReplyKind::Complete] { sendEnded(attempt, complete, false); });
-    };
-    events.after(graph.callerDelay, [this, entry, call] { nodes[entry]->enter(call); });
-    events.after(graph.callerWait, [this, attempt, entry, call] {
-        if (!attempt->concluded) {
-            sendEnded(attempt, false, true);
-            if (options.deadlinesEnabled) {
-                nodes[entry]->cancelOutgoing(call);
-            }
-        }
-    });
-}
-
-void Model::Private::sendEnded(const std::shared_ptr<RequestSend> &attempt, bool complete, bool timedOut)
-{
-    if (attempt->concluded) {
-        return;
-    }
-    attempt->concluded = true;
-    attempt->complete = complete;
-    const auto index = static_cast<std::size_t>((events.now() - start) / metrics.interval);
-    metrics.intervals.resize(std::max(metrics.intervals.size(), index + 1));
-    ModelInterval &interval = metrics.intervals[index];
-    const std::shared_ptr<CallerRequest> request = attempt->request;
-    if (complete) {
-        ++interval.complete;
-        interval.latency += seconds(events.now() - attempt->sent);
-        request->complete = true;
-        return;
-    }
-    interval.wasted += seconds(attempt->work);
-    const Duration turnaround = timedOut ? Duration(0) : graph.resendTurnaround;
-    if (events.now() + turnaround - request->firstSent < graph.resendTime) {
-        events.after(turnaround, [this, request] { send(request); });
-    }
-}
-
 void Model::Private::tick()
 {
     events.after(TickInterval, [this] {
