Begin each simulated watch with a read, as the daemon does

Cause: StartWatch and StartValueWatch named a version after which a watch begins. The daemon never used it, because PlatformClient begins a watch with a read; the configuration service counts its versions itself, so the version that the core holds says nothing about them. Both simulated platforms used it and so differed from the daemon. The field is gone, and both simulations begin a watch at version 0, below every published version, so that its first poll reads the value. Conclusion: the decisions of the core do not depend on the field; the simulations now count the reads that the daemon makes.

--- a/src/core/distribution/distributionoutput.h
+++ b/src/core/distribution/distributionoutput.h
@@ -27,11 +27,10 @@
     DistributionMessage message;
 };
 
-// Keep a waiting watch on a key, starting after the given version.
+// Keep a waiting watch on a key, which begins with a read.
 struct StartValueWatch
 {
     std::string key;
-    std::uint64_t afterVersion = 0;
 };
 
 struct StopValueWatch
--- a/src/core/distribution/distributiontimers.cpp
+++ b/src/core/distribution/distributiontimers.cpp
@@ -118,7 +118,7 @@
     for (const ValueFamily which : {ValueFamily::Configuration, ValueFamily::Hosts}) {
         const std::string key = formatKey({.family = which, .service = {}});
         if (election.isReading()) {
-            outputs.emplace_back(StartValueWatch{.key = key, .afterVersion = family(which).index.stamp().version});
+            outputs.emplace_back(StartValueWatch{.key = key});
         } else {
             outputs.emplace_back(StopValueWatch{.key = key});
         }
--- a/src/core/node/action.h
+++ b/src/core/node/action.h
@@ -95,11 +95,10 @@
     std::string key;
 };
 
-// Keep a waiting watch on a key of the configuration service, starting after the given version.
+// Keep a waiting watch on a key of the configuration service, which begins with a read.
 struct StartWatch
 {
     std::string key;
-    std::uint64_t afterVersion = 0;
 };
 
 struct StopWatch
--- a/src/core/node/controlplane.cpp
+++ b/src/core/node/controlplane.cpp
@@ -178,7 +178,7 @@
 
 void ControlPlane::on(const StartValueWatch &output)
 {
-    m_parts.actions.add(StartWatch{.key = output.key, .afterVersion = output.afterVersion});
+    m_parts.actions.add(StartWatch{.key = output.key});
 }
 
 void ControlPlane::on(const StopValueWatch &output)
--- a/tests/distribution/simfleet.h
+++ b/tests/distribution/simfleet.h
@@ -112,7 +112,6 @@
     template <typename Message>
     void transmit(SimNode &from, const std::string &address, Message message);
     bool admitRead();
-    void startWatch(SimNode &node, const std::string &key, std::uint64_t after);
     void damage(DistributionMessage &message);
     Duration delayBetween(const SimNode &a, const SimNode &b);
     std::uint32_t indexOf(const SimNode &node) const;
--- a/tests/distribution/simfleetplatform.cpp
+++ b/tests/distribution/simfleetplatform.cpp
@@ -30,7 +30,14 @@
 
 void SimFleet::act(SimNode &node, const StartValueWatch &watch)
 {
-    startWatch(node, watch.key, watch.afterVersion);
+    ++m_reads;
+    // Every published version is greater than 0, so the watch begins with a read of the present value, as in the daemon.
+    node.watches[watch.key] = 0;
+    const std::uint32_t index = indexOf(node);
+    if (std::find(m_watchers.begin(), m_watchers.end(), index) == m_watchers.end()) {
+        m_watchers.push_back(index);
+    }
+    checkWatches();
 }
 
 void SimFleet::act(SimNode &node, const StopValueWatch &stop)
@@ -75,17 +82,6 @@
     node.readyVersion = node.distribution->status().inForce.version;
 }
 
-void SimFleet::startWatch(SimNode &node, const std::string &key, std::uint64_t after)
-{
-    ++m_reads;
-    node.watches[key] = after;
-    const std::uint32_t index = indexOf(node);
-    if (std::find(m_watchers.begin(), m_watchers.end(), index) == m_watchers.end()) {
-        m_watchers.push_back(index);
-    }
-    checkWatches();
-}
-
 void SimFleet::checkWatches()
 {
     std::erase_if(m_watchers, [this](std::uint32_t index) { return m_nodes[index].watches.empty(); });
--- a/tests/invariants/simhostactions.cpp
+++ b/tests/invariants/simhostactions.cpp
@@ -259,7 +259,8 @@
 
 void SimHost::on(const StartWatch &action)
 {
-    m_watches[action.key] = action.afterVersion;
+    // Every published version is greater than 0, so the first poll reads the present value, as the daemon does.
+    m_watches[action.key] = 0;
 }
 
 void SimHost::on(const StopWatch &action)
