Share the random part of a time and the hash of reader keys

Cause: ColdRead and Distribution::Private each had the same randomPart, and ColdRead, ReaderElection and ValueFetcher each filled an array to hash the parts of a rank key. randomPart is now one function of src/core/distribution, and hashParts takes its parts as a braced list, which replaces two of the three key functions and shortens the third. The labels of the keys and the order of the draws are the same.

--- a/src/core/distribution/coldread.cpp
+++ b/src/core/distribution/coldread.cpp
@@ -1,10 +1,10 @@
 #include "core/distribution/coldread.h"
 
 #include "core/base/hashing.h"
+#include "core/distribution/randompart.h"
 #include "core/membership/membership.h"
 
 #include <algorithm>
-#include <array>
 #include <chrono>
 #include <cmath>
 #include <random>
@@ -20,12 +20,6 @@
 constexpr int DeferralWindows = 10;
 // Services whose members share one second when they read their own host list: 31 members each give 930 reads a second.
 constexpr double ServicesPerSecond = 30;
-
-RequestKey coldReaderKey()
-{
-    const std::array<std::string_view, 1> parts{"cold reader"};
-    return hashParts(parts);
-}
 } // namespace
 
 ColdRead::ColdRead(const DistributionOptions &options, const Membership &membership, RandomEngine random)
@@ -36,7 +30,7 @@
 Duration ColdRead::firstDelay()
 {
     if (!m_options.mechanisms.coldReadElection || (m_membership.seeds().empty() && m_membership.peers().empty())) {
-        return randomPart(m_options.blindReadWindow);
+        return randomPart(m_options.blindReadWindow, m_random);
     }
     const double part = std::uniform_real_distribution<double>(std::exp(-LogFleet), 1)(m_random);
     return std::chrono::duration_cast<Duration>(FirstWindows * m_options.blindReadWindow * (1 + (std::log(part) / LogFleet)));
@@ -47,7 +41,7 @@
     if (!m_options.mechanisms.coldReadElection || deferrals > 0) {
         return false;
     }
-    const RequestKey key = coldReaderKey();
+    const RequestKey key = hashParts({"cold reader"});
     const std::span<const Introduction> peers = m_membership.peers();
     return std::any_of(peers.begin(), peers.end(),
                        [&](const Introduction &peer) { return outranks(key, peer.name, m_membership.self().name); });
@@ -55,13 +49,13 @@
 
 Duration ColdRead::deferral()
 {
-    return m_options.blindReadWindow + randomPart(DeferralWindows * m_options.blindReadWindow);
+    return m_options.blindReadWindow + randomPart(DeferralWindows * m_options.blindReadWindow, m_random);
 }
 
 Duration ColdRead::nextDelay(unsigned reads)
 {
     const Duration delay = std::min(m_options.blindReadWindow * (1U << std::min(reads, MaxBackoffDoublings)), m_options.maxReadDelay);
-    return delay / 2 + randomPart(delay);
+    return delay / 2 + randomPart(delay, m_random);
 }
 
 Duration ColdRead::spreadFor(std::size_t services) const
@@ -70,9 +64,4 @@
     return std::max(m_options.blindReadWindow, std::chrono::duration_cast<Duration>(spread));
 }
 
-Duration ColdRead::randomPart(Duration whole)
-{
-    return std::chrono::duration_cast<Duration>(whole * std::uniform_real_distribution<double>(0, 1)(m_random));
-}
-
 } // namespace wisteriafork
--- a/src/core/distribution/coldread.h
+++ b/src/core/distribution/coldread.h
@@ -31,8 +31,6 @@
     Duration spreadFor(std::size_t services) const;
 
 private:
-    Duration randomPart(Duration whole);
-
     const DistributionOptions &m_options;
     const Membership &m_membership;
     RandomEngine m_random;
--- a/src/core/distribution/distributionindexes.cpp
+++ b/src/core/distribution/distributionindexes.cpp
@@ -3,6 +3,7 @@
 #include "core/base/hashing.h"
 #include "core/distribution/indexjson.h"
 #include "core/distribution/messagesize.h"
+#include "core/distribution/randompart.h"
 
 #include <algorithm>
 #include <utility>
@@ -92,7 +93,7 @@
     Family &held = family(which);
     held.from = std::move(from);
     held.pullUntil = {};
-    const Duration spread = std::max(coldRead.deferral(), randomPart(coldRead.spreadFor(held.index.entries().size())));
+    const Duration spread = std::max(coldRead.deferral(), randomPart(coldRead.spreadFor(held.index.entries().size()), random));
     held.nextRead = std::max(held.nextRead, clock.now() + RereadDelay + spread);
     if (which == ValueFamily::Configuration) {
         // The older version was a way round the one held back; nodes do not keep it once they have a newer one.
--- a/src/core/distribution/distributionprivate.h
+++ b/src/core/distribution/distributionprivate.h
@@ -93,7 +93,6 @@
 
     // Work by time.
     void start(TimePoint now);
-    Duration randomPart(Duration whole);
     bool takeRead(TimePoint now);
     void sendDigests(TimePoint now);
     void askAtStart(TimePoint now);
--- a/src/core/distribution/distributiontimers.cpp
+++ b/src/core/distribution/distributiontimers.cpp
@@ -1,5 +1,7 @@
 #include "core/distribution/distributionprivate.h"
 
+#include "core/distribution/randompart.h"
+
 #include <algorithm>
 #include <random>
 #include <utility>
@@ -18,18 +20,13 @@
 void Distribution::Private::start(TimePoint now)
 {
     started = now;
-    nextDigest = now + randomPart(options.digestInterval);
+    nextDigest = now + randomPart(options.digestInterval, random);
     const TimePoint firstRead = now + coldRead.firstDelay();
     for (Family &held : families) {
         held.nextRead = firstRead;
     }
 }
 
-Duration Distribution::Private::randomPart(Duration whole)
-{
-    return std::chrono::duration_cast<Duration>(whole * std::uniform_real_distribution<double>(0, 1)(random));
-}
-
 void Distribution::Private::askAtStart(TimePoint now)
 {
     if (!options.mechanisms.askPeersAtStart) {
--- a/src/core/distribution/readerelection.cpp
+++ b/src/core/distribution/readerelection.cpp
@@ -4,7 +4,6 @@
 #include "core/membership/membership.h"
 
 #include <algorithm>
-#include <array>
 #include <random>
 
 namespace wisteriafork {
@@ -24,16 +23,13 @@
 // in 100 nodes stand.
 constexpr double SecondsPerMember = 8;
 constexpr double WeightRange = 18446744073709551616.0;
-
-RequestKey electionKey(const DomainId &domain)
-{
-    const std::array<std::string_view, 2> parts{"configuration reader", domain.value()};
-    return hashParts(parts);
-}
 } // namespace
 
 ReaderElection::ReaderElection(const DistributionOptions &options, const Membership &membership, RandomEngine random)
-    : m_options(options), m_membership(membership), m_key(electionKey(membership.self().domain)), m_random(random)
+    : m_options(options)
+    , m_membership(membership)
+    , m_key(hashParts({"configuration reader", membership.self().domain.value()}))
+    , m_random(random)
 {
 }
 
--- a/src/core/distribution/valuefetcher.cpp
+++ b/src/core/distribution/valuefetcher.cpp
@@ -4,7 +4,6 @@
 #include "core/membership/membership.h"
 
 #include <algorithm>
-#include <array>
 #include <chrono>
 #include <random>
 
@@ -29,9 +28,7 @@
 
 RequestKey rankKey(const ValueKey &key)
 {
-    const std::string text = formatKey(key);
-    const std::array<std::string_view, 2> parts{"value reader", text};
-    return hashParts(parts);
+    return hashParts({"value reader", formatKey(key)});
 }
 } // namespace
 
