--- a/src/daemon/callreceiver.cpp
+++ b/src/daemon/callreceiver.cpp
@@ -1,5 +1,6 @@
 #include "daemon/callreceiver.h"
 
+#include "daemon/receivedcall.h"
 #include "net/refusalresponse.h"
 #include "net/traceparent.h"
 
@@ -20,12 +21,6 @@
     return makeTraceId(random(), random());
 }
 
-// Fields of the project are read by the classifier and written anew for each hop; a caller must not pass its own through.
-void removeProjectFields(HttpHeaders &headers)
-{
-    std::erase_if(headers.fields(), [](const HttpHeaders::Field &field) { return field.first.starts_with("wf-"); });
-}
-
 } // namespace
 
 CallReceiver::CallReceiver(CallOrigin origin, CallTable &calls, CoreRunner &core, const Clock &clock, CallStatistics &statistics)
@@ -49,15 +44,7 @@
             errorResponse(404, service ? "no service has this path" : "the service has no operation for this method and path"));
         return;
     }
-    removeProjectFields(exchange->request->headers);
-    CallRecord record;
-    record.call = std::move(classified->call);
-    record.traceId = classified->traceId;
-    record.arrived = m_clock.now();
-    record.request = exchange->request;
-    record.exchange = exchange;
-    const std::shared_ptr<CallRecord> added = m_calls.add(std::move(record));
-    exchange->tag = added->call.id;
+    const auto added = addReceivedCall(m_calls, exchange, std::move(classified->call), classified->traceId, m_clock.now());
     m_statistics.arrived(added->call);
     m_core.post(CallArrived{.call = added->call, .traceId = std::move(classified->traceId)}, added->call.id);
 }
--- a/src/daemon/peerreceiver.cpp
+++ b/src/daemon/peerreceiver.cpp
@@ -1,5 +1,6 @@
 #include "daemon/peerreceiver.h"
 
+#include "daemon/receivedcall.h"
 #include "net/callheaders.h"
 #include "net/codec.h"
 #include "net/refusalresponse.h"
@@ -31,17 +32,9 @@
         exchange->respond(errorResponse(400, "the description of the call is malformed"));
         return;
     }
-    std::erase_if(request.headers.fields(), [](const HttpHeaders::Field &field) { return field.first.starts_with("wf-"); });
     request.method = std::move(forwarded->method);
     request.target = std::move(forwarded->target);
-    CallRecord record;
-    record.call = std::move(forwarded->call);
-    record.traceId = forwarded->traceId;
-    record.arrived = m_clock.now();
-    record.request = exchange->request;
-    record.exchange = exchange;
-    const std::shared_ptr<CallRecord> added = m_calls.add(std::move(record));
-    exchange->tag = added->call.id;
+    const auto added = addReceivedCall(m_calls, exchange, std::move(forwarded->call), forwarded->traceId, m_clock.now());
     m_core.post(
         CallArrived{
             .call = added->call, .from = std::move(forwarded->from), .mode = forwarded->mode, .traceId = std::move(forwarded->traceId)},
