--- a/src/core/distribution/distributiontimers.cpp
+++ b/src/core/distribution/distributiontimers.cpp
@@ -1,5 +1,7 @@
 #include "core/distribution/distributionprivate.h"
 
+#include "core/distribution/randompart.h"
+
 #include <algorithm>
 #include <random>
 #include <utility>
@@ -18,18 +20,13 @@
 void Distribution::Private::start(TimePoint now)
 {
     started = now;
-    nextDigest = now + randomPart(options.digestInterval);
+    nextDigest = now + randomPart(options.digestInterval, random);
     const TimePoint firstRead = now + coldRead.firstDelay();
     for (Family &held : families) {
         held.nextRead = firstRead;
     }
 }
 
-Duration Distribution::Private::randomPart(Duration whole)
-{
-    return std::chrono::duration_cast<Duration>(whole * std::uniform_real_distribution<double>(0, 1)(random));
-}
-
 void Distribution::Private::askAtStart(TimePoint now)
 {
     if (!options.mechanisms.askPeersAtStart) {
@@ -118,7 +115,7 @@
     for (const ValueFamily which : {ValueFamily::Configuration, ValueFamily::Hosts}) {
         const std::string key = formatKey({.family = which, .service = {}});
         if (election.isReading()) {
-            outputs.emplace_back(StartValueWatch{.key = key, .afterVersion = family(which).index.stamp().version});
+            outputs.emplace_back(StartValueWatch{.key = key});
         } else {
             outputs.emplace_back(StopValueWatch{.key = key});
         }
