--- a/bench/capacity/capacity_bench.cpp
+++ b/bench/capacity/capacity_bench.cpp
@@ -4,7 +4,9 @@
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
+#include <map>
 #include <random>
+#include <string>
 
 #include <getopt.h>
 
@@ -34,7 +36,8 @@
     {
     }
 
-    void coldStart()
+    // With `trace`, prints the reads of each second by kind.
+    void coldStart(bool trace)
     {
         const double before = residentBytes();
         const TimePoint begin = m_fleet.now();
@@ -48,7 +51,11 @@
         bool ready = false;
         while (!ready && m_fleet.now() - begin < 2 * Patience) {
             const std::uint64_t reads = m_fleet.reads();
+            const std::map<std::string, std::uint64_t> readsOf = m_fleet.readsOf;
             m_fleet.run(1s);
+            if (trace) {
+                traceSecond(seconds(m_fleet.now() - begin), readsOf);
+            }
             mostReads = std::max(mostReads, static_cast<double>(m_fleet.reads() - reads));
             mostWatches = std::max(mostWatches, m_fleet.watches());
             ready = allReady();
@@ -140,6 +147,28 @@
     FleetReport report;
 
 private:
+    void traceSecond(double second, const std::map<std::string, std::uint64_t> &before)
+    {
+        const auto &nodes = m_fleet.nodes();
+        const auto ready = std::count_if(nodes.begin(), nodes.end(), [](const SimNode &n) { return n.distribution->isReady(); });
+        const auto known
+            = std::count_if(nodes.begin(), nodes.end(), [](const SimNode &n) { return n.distribution->status().known.version != 0; });
+        double peers = 0;
+        for (const SimNode &node : nodes) {
+            peers += static_cast<double>(node.membership->peers().size());
+        }
+        std::printf("second %3.0f, with index %td, ready %td, peers %.1f:", second, known, ready,
+                    peers / static_cast<double>(nodes.size()));
+        for (const auto &[kind, count] : m_fleet.readsOf) {
+            const auto found = before.find(kind);
+            const std::uint64_t more = count - (found == before.end() ? 0 : found->second);
+            if (more > 0) {
+                std::printf(" %s %llu;", kind.c_str(), static_cast<unsigned long long>(more));
+            }
+        }
+        std::printf("\n");
+        std::fflush(stdout);
+    }
     std::size_t pick(std::size_t count)
     {
         return std::uniform_int_distribution<std::size_t>(0, count - 1)(m_random);
@@ -173,17 +202,21 @@
 };
 } // namespace
 
-// Usage: capacity_bench --members N [--services S] [--domains D] [--steady seconds] [--json file]
+// Usage: capacity_bench --members N [--services S] [--domains D] [--steady seconds] [--cold-start] [--trace-reads] [--json file]
+// `--cold-start` ends after the cold start.
 int main(int argc, char **argv)
 {
     std::size_t members = 1000;
     std::size_t services = 0;
     std::size_t domains = 20;
     long steady = 60;
+    bool coldStartOnly = false;
+    bool traceReads = false;
     std::string json;
     const option options[] = {{"members", required_argument, nullptr, 'm'}, {"services", required_argument, nullptr, 's'},
                               {"domains", required_argument, nullptr, 'd'}, {"steady", required_argument, nullptr, 't'},
-                              {"json", required_argument, nullptr, 'j'},    {nullptr, 0, nullptr, 0}};
+                              {"json", required_argument, nullptr, 'j'},    {"cold-start", no_argument, nullptr, 'c'},
+                              {"trace-reads", no_argument, nullptr, 'r'},   {nullptr, 0, nullptr, 0}};
     for (int key = 0; (key = getopt_long(argc, argv, "", options, nullptr)) != -1;) {
         switch (key) {
         case 'm':
@@ -198,6 +231,12 @@
         case 't':
             steady = std::strtol(optarg, nullptr, 10);
             break;
+        case 'c':
+            coldStartOnly = true;
+            break;
+        case 'r':
+            traceReads = true;
+            break;
         case 'j':
             json = optarg;
             break;
@@ -212,12 +251,14 @@
     const std::size_t perService = members / services;
     capacity.report.add("members", static_cast<double>(services * perService), "");
     capacity.report.add("services", static_cast<double>(services), "");
-    capacity.coldStart();
-    capacity.settle(20s);
-    capacity.steady(std::chrono::seconds(steady));
-    capacity.oneHost(true);
-    capacity.oneHost(false);
-    capacity.loseDomain(10s);
+    capacity.coldStart(traceReads);
+    if (!coldStartOnly) {
+        capacity.settle(20s);
+        capacity.steady(std::chrono::seconds(steady));
+        capacity.oneHost(true);
+        capacity.oneHost(false);
+        capacity.loseDomain(10s);
+    }
     if (!json.empty()) {
         std::ofstream(json) << capacity.report.json();
     }
--- a/tests/distribution/simfleet.h
+++ b/tests/distribution/simfleet.h
@@ -54,7 +54,7 @@
     static ServiceId serviceId(std::size_t service);
     // Delivers platform values that are newer than what the watches gave.
     void checkWatches();
-    // Single reads by kind of key.
+    // Single reads by kind of key and by what the reader is to the service.
     std::map<std::string, std::uint64_t> readsOf;
     // Calls after each event on a node.
     std::function<void(SimNode &)> observer;
@@ -111,6 +111,7 @@
     void act(SimNode &node, const BecameReady &ready);
     template <typename Message>
     void transmit(SimNode &from, const std::string &address, Message message);
+    static std::string readKind(const SimNode &node, const std::string &key);
     bool admitRead();
     void startWatch(SimNode &node, const std::string &key, std::uint64_t after);
     void damage(DistributionMessage &message);
--- a/tests/distribution/simfleetplatform.cpp
+++ b/tests/distribution/simfleetplatform.cpp
@@ -21,10 +21,22 @@
     transmit(node, send.address, std::move(send.message));
 }
 
+std::string SimFleet::readKind(const SimNode &node, const std::string &key)
+{
+    const std::size_t slash = key.rfind('/');
+    const std::string family = key.substr(0, slash);
+    if (slash == std::string::npos || family == "config") {
+        return family;
+    }
+    const ServiceId &own = node.info.service;
+    const std::string part = key.substr(slash + 1) == own.value() ? " as member" : " as caller";
+    return family + part + (node.membership->view(own).all.empty() ? ", own list unknown" : "");
+}
+
 void SimFleet::act(SimNode &node, const ReadValue &read)
 {
     ++m_reads;
-    ++readsOf[read.key.substr(0, read.key.rfind('/'))];
+    ++readsOf[readKind(node, read.key)];
     schedule(ReadDelay, {.node = indexOf(node), .from = 0, .what = Read{.life = node.life, .key = read.key}});
 }
 
