Repeat the pulls of a starting node with growing intervals

Cause: a node of a cold fleet lacks about 17 values at once and repeated the pull of each after 500 to 625 ms, while the first in rank had not read them yet. That is about 30 pulls a second with a budget of 20 messages, so answers to other nodes were dropped, the tree by rank stood still, and nodes of lower rank read at the service. The interval now doubles up to 2 s while the node starts; ready nodes pull as before.

The new test sees 279 pulls in 10 s without the change, bound 200.

--- a/src/core/distribution/valuefetcher.cpp
+++ b/src/core/distribution/valuefetcher.cpp
@@ -25,6 +25,9 @@
 constexpr Duration CallerPatience = std::chrono::seconds(4);
 constexpr Duration SecondReaderDelay = std::chrono::milliseconds(1500);
 constexpr Duration PatienceSpread = std::chrono::seconds(2);
+// Greatest time between two pulls of a value by a starting node. It lacks about 20 values at once, for as long as others take to read them
+// first; a pull each 500 ms would take twice its message budget, and answers would be dropped.
+constexpr Duration MaxStartTimeout = std::chrono::seconds(2);
 constexpr unsigned MaxBackoffDoublings = 6;
 
 RequestKey rankKey(const ValueKey &key)
@@ -66,7 +69,8 @@
             break;
         }
         std::optional<Request> request = choose(key, want, now, ready);
-        want.due = now + m_options.pullTimeout + jittered(m_options.pullTimeout / 4);
+        const Duration timeout = ready ? m_options.pullTimeout : startTimeout(want.attempts);
+        want.due = now + timeout + jittered(timeout / 4);
         ++want.attempts;
         if (request) {
             want.asked = request->to;
@@ -76,6 +80,12 @@
     return requests;
 }
 
+Duration ValueFetcher::startTimeout(unsigned attempts) const
+{
+    return std::min(m_options.pullTimeout * (1U << std::min(attempts, MaxBackoffDoublings)),
+                    std::max(MaxStartTimeout, m_options.pullTimeout));
+}
+
 std::optional<ValueFetcher::Request> ValueFetcher::choose(const ValueKey &key, Want &want, TimePoint now, bool ready)
 {
     const Role role = roleFor(key);
--- a/src/core/distribution/valuefetcher.h
+++ b/src/core/distribution/valuefetcher.h
@@ -79,6 +79,8 @@
     Role roleFor(const ValueKey &key) const;
     // Time for which this node asks others before it reads the configuration service.
     Duration patience(ValueFamily family, const Want &want, const Role &role, bool ready) const;
+    // Time until a starting node repeats a pull, by the number of attempts before.
+    Duration startTimeout(unsigned attempts) const;
     std::optional<Request> choose(const ValueKey &key, Want &want, TimePoint now, bool ready);
     std::optional<Request> choosePeer(const ValueKey &key, const Want &want, const Role &role);
     // The member of the own service that is above this node in the tree.
--- a/tests/distribution/scenarios_test.cpp
+++ b/tests/distribution/scenarios_test.cpp
@@ -1,6 +1,8 @@
+#include "core/distribution/valuefetcher.h"
 #include "distribution/simfleet.h"
 
 #include <algorithm>
+#include <vector>
 
 // After the others: CppUTest replaces `new` by a macro.
 #include <CppUTest/TestHarness.h>
@@ -116,10 +118,46 @@
     }
     return distribution.takeOutputs().size();
 }
+
+// Pulls of a starting node in 10 s, with as many values missing as a node of the target needs and nobody who has them.
+std::size_t pullsWithoutAnswer(const DistributionOptions &options)
+{
+    constexpr std::size_t Values = 17;
+    ManualClock clock;
+    clock.advance(1h);
+    const MemberInfo self{.name = NodeId("self"), .incarnation = 1, .service = ServiceId("katalog"), .peerAddress = "10.0.0.1:7101"};
+    Membership membership({.self = self}, clock, RandomEngine(1));
+    membership.learn({.name = NodeId("other"), .incarnation = 1, .service = ServiceId("preise"), .address = "10.0.0.2:7101"});
+    membership.tick();
+    ValueFetcher fetcher(options, membership, RandomEngine(2));
+    std::vector<IndexEntry> missing;
+    for (std::size_t i = 0; i < Values; ++i) {
+        missing.push_back({.service = SimFleet::serviceId(i), .version = 1, .hash = 1});
+    }
+    fetcher.setWanted(ValueFamily::Configuration, missing, clock.now());
+    fetcher.setSpread(30s);
+    std::size_t pulls = 0;
+    for (int tick = 0; tick < 100; ++tick) {
+        clock.advance(100ms);
+        const std::vector<ValueFetcher::Request> requests = fetcher.takeDue(clock.now(), false);
+        pulls += static_cast<std::size_t>(
+            std::count_if(requests.begin(), requests.end(), [](const ValueFetcher::Request &request) { return !request.address.empty(); }));
+    }
+    return pulls;
+}
 } // namespace
 
 TEST_GROUP(FleetScenarios){};
 
+// Guards against pulls that alone exceed the message budget, so that answers to others are dropped and they read at the service.
+TEST(FleetScenarios, pullWithinTheMessageBudgetAtTheStart)
+{
+    const DistributionOptions defaults;
+    const std::size_t pulls = pullsWithoutAnswer(defaults);
+    CHECK_COMPARE(pulls, >, 0U);
+    CHECK_COMPARE(static_cast<double>(pulls), <, 10 * defaults.messagesPerSecond);
+}
+
 // Guards against a fleet that starts cold and reads together: 28,000 nodes may make 2,000 reads in a second, one of 14 nodes.
 TEST(FleetScenarios, leaveTheIndexToAFewReadersAtAColdStart)
 {
