Ask all seeds at the start, also when one has answered

Cause: a starting node stopped to ask its seeds once it knew one peer. In a cold fleet the nodes knew 1.3 to 2.6 peers on average during the first 4 s (3,999 members), so the first index travelled along chains for 3 to 4 s, while the density of the first reads grows by a factor of 5.6 a second. Each seed is now asked once; nodes that share a list of seeds begin at different ones by the hash of their name.

The new test sees 0 of 3 seeds asked without the change.

--- a/src/core/distribution/distributionprivate.h
+++ b/src/core/distribution/distributionprivate.h
@@ -97,6 +97,8 @@
     bool takeRead(TimePoint now);
     void sendDigests(TimePoint now);
     void askAtStart(TimePoint now);
+    // Asks the next seed if one is due; `alone` if no peer is known.
+    void askSeed(bool alone, TimePoint now);
     void askForInForce(TimePoint now);
     void readBlindly(TimePoint now);
     void fetch(TimePoint now);
@@ -131,6 +133,7 @@
     // Since when all needed values of the newest indexes are here.
     TimePoint completeSince{};
     TimePoint nextSeed{};
+    std::size_t seedsAsked = 0;
     std::vector<HeldBackValue> heldBack;
     std::uint64_t question;
     std::uint64_t hostsReached = 0;
--- a/src/core/distribution/distributiontimers.cpp
+++ b/src/core/distribution/distributiontimers.cpp
@@ -1,7 +1,11 @@
 #include "core/distribution/distributionprivate.h"
 
+#include "core/base/hashing.h"
+
 #include <algorithm>
+#include <cstdint>
 #include <random>
+#include <span>
 #include <utility>
 
 // Work that depends on time: start, digests, fetching, reading.
@@ -51,12 +55,23 @@
         ask.question = ++question;
         send(peer.name, peer.address, std::move(ask));
     }
-    if (peers.empty() && !membership.seeds().empty() && now >= nextSeed) {
-        nextSeed = now + options.startAnswerTimeout;
-        VersionDigest ask = digest(true);
-        ask.question = ++question;
-        send(NodeId(), membership.seeds()[question % membership.seeds().size()], std::move(ask));
+    askSeed(peers.empty(), now);
+}
+
+void Distribution::Private::askSeed(bool alone, TimePoint now)
+{
+    const std::span<const std::string> seeds = membership.seeds();
+    // All seeds are asked, also when one has answered: with one peer each, the nodes of a cold fleet form chains along which the first
+    // index travels too slowly to keep the others from reading it.
+    if (seeds.empty() || now < nextSeed || (!alone && seedsAsked >= seeds.size())) {
+        return;
     }
+    nextSeed = now + options.startAnswerTimeout;
+    VersionDigest ask = digest(true);
+    ask.question = ++question;
+    // Nodes that share their list of seeds begin at different ones.
+    const std::uint64_t first = hash64(membership.self().name.value());
+    send(NodeId(), seeds[(first + seedsAsked++) % seeds.size()], std::move(ask));
 }
 
 void Distribution::Private::askForInForce(TimePoint now)
--- a/tests/distribution/scenarios_test.cpp
+++ b/tests/distribution/scenarios_test.cpp
@@ -2,6 +2,9 @@
 #include "distribution/simfleet.h"
 
 #include <algorithm>
+#include <set>
+#include <string>
+#include <variant>
 #include <vector>
 
 // After the others: CppUTest replaces `new` by a macro.
@@ -119,6 +122,31 @@
     return distribution.takeOutputs().size();
 }
 
+// Seeds that a starting node asks in 5 s although the first message of a peer has arrived before.
+std::set<std::string> seedsAskedBesideAPeer(const std::vector<std::string> &seeds)
+{
+    ManualClock clock;
+    clock.advance(1h);
+    const MemberInfo self{.name = NodeId("self"), .incarnation = 1, .service = ServiceId("katalog"), .peerAddress = "10.0.0.1:7101"};
+    Membership membership({.self = self, .seeds = seeds}, clock, RandomEngine(1));
+    Distribution distribution({}, membership, clock, RandomEngine(2));
+    const Introduction peer{.name = NodeId("other"), .incarnation = 1, .service = ServiceId("preise"), .address = "10.0.0.2:7101"};
+    std::set<std::string> asked;
+    for (int tick = 0; tick < 50; ++tick) {
+        clock.advance(100ms);
+        membership.learn(peer);
+        membership.tick();
+        distribution.tick();
+        for (const DistributionOutput &output : distribution.takeOutputs()) {
+            const auto *sent = std::get_if<SendDistributionMessage>(&output);
+            if (sent != nullptr && std::find(seeds.begin(), seeds.end(), sent->address) != seeds.end()) {
+                asked.insert(sent->address);
+            }
+        }
+    }
+    return asked;
+}
+
 // Pulls of a starting node in 10 s, with as many values missing as a node of the target needs and nobody who has them.
 std::size_t pullsWithoutAnswer(const DistributionOptions &options)
 {
@@ -149,6 +177,13 @@
 
 TEST_GROUP(FleetScenarios){};
 
+// Guards against a cold fleet whose nodes know one peer each, so that the index spreads more slowly than further nodes begin to read it.
+TEST(FleetScenarios, askAllSeedsAtTheStart)
+{
+    const std::vector<std::string> seeds{"10.0.1.1:7101", "10.0.1.2:7101", "10.0.1.3:7101"};
+    CHECK_EQUAL(seeds.size(), seedsAskedBesideAPeer(seeds).size());
+}
+
 // Guards against pulls that alone exceed the message budget, so that answers to others are dropped and they read at the service.
 TEST(FleetScenarios, pullWithinTheMessageBudgetAtTheStart)
 {
