--- a/tests/distribution/simfleetplatform.cpp
+++ b/tests/distribution/simfleetplatform.cpp
@@ -24,7 +24,7 @@
 std::string SimFleet::readKind(const SimNode &node, const std::string &key)
 {
     const std::size_t slash = key.rfind('/');
-    const std::string family = key.substr(0, slash);
+    std::string family = key.substr(0, slash);
     if (slash == std::string::npos || family == "config") {
         return family;
     }
