Revert "Name a sample in one of four replies to probes after the start"

This reverts. distribution_properties_20261206 failed with it: "views do not converge after all faults ended (node n2, 49770 ms);". Not traced; likely the samples bring nodes together again after faults.

--- a/src/core/membership/membershipprivate.cpp
+++ b/src/core/membership/membershipprivate.cpp
@@ -10,9 +10,6 @@
 // Peers told directly when this node starts to leave; gossip tells the others.
 constexpr std::size_t AnnounceFanout = 16;
 constexpr Duration RebuildInterval = std::chrono::seconds(1);
-// Replies to probes that name a sample each: about 20 s at 3 probes a second. Of the later ones, one in four does.
-constexpr std::uint64_t RepliesWithSample = 64;
-constexpr std::uint64_t RepliesPerSample = 4;
 } // namespace
 
 Membership::Private::Private(MembershipOptions given, const Clock &nodeClock, RandomEngine engine)
@@ -174,12 +171,8 @@
     if (table.find(asker.name) == nullptr) {
         samples.push_back(self);
     }
-    // Peers change slowly once a node has started, so that few samples keep the sets of the askers mixed.
-    if (++replies > RepliesWithSample && replies % RepliesPerSample != 0) {
-        return samples;
-    }
     // Every other sample is from the asker's failure domain, since reader beacons travel within a domain.
-    const Introduction *sample = ++samplesGiven % 2 == 0 ? peerSet.pickOf(asker.domain, random) : nullptr;
+    const Introduction *sample = probeRound % 2 == 0 ? peerSet.pickOf(asker.domain, random) : nullptr;
     sample = sample != nullptr ? sample : peerSet.pick(random);
     if (sample != nullptr && sample->name != asker.name) {
         samples.push_back(*sample);
--- a/src/core/membership/membershipprivate.h
+++ b/src/core/membership/membershipprivate.h
@@ -62,8 +62,6 @@
     std::uint64_t firstFreshProbe = 0;
     std::uint64_t probeRound = 0;
     std::uint64_t otherRound = 0;
-    std::uint64_t replies = 0;
-    std::uint64_t samplesGiven = 0;
     TimePoint nextProbe{};
     TimePoint nextRebuild{};
     bool peersChanged = true;
