--- a/src/core/distribution/distributionprivate.h
+++ b/src/core/distribution/distributionprivate.h
@@ -95,7 +95,11 @@
     void start(TimePoint now);
     bool takeRead(TimePoint now);
     void sendDigests(TimePoint now);
+    // Members of the own service, then the other peers.
+    std::vector<Introduction> startPeers() const;
     void askAtStart(TimePoint now);
+    // Asks the next seed if one is due; `alone` if no peer is known.
+    void askSeed(bool alone, TimePoint now);
     void askForInForce(TimePoint now);
     void readBlindly(TimePoint now);
     void fetch(TimePoint now);
@@ -130,6 +134,7 @@
     // Since when all needed values of the newest indexes are here.
     TimePoint completeSince{};
     TimePoint nextSeed{};
+    std::size_t seedsAsked = 0;
     std::vector<HeldBackValue> heldBack;
     std::uint64_t question;
     std::uint64_t hostsReached = 0;
--- a/src/core/distribution/distributiontimers.cpp
+++ b/src/core/distribution/distributiontimers.cpp
@@ -1,9 +1,12 @@
 #include "core/distribution/distributionprivate.h"
 
+#include "core/base/hashing.h"
 #include "core/distribution/randompart.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <random>
+#include <span>
 #include <utility>
 
 // Work that depends on time: start, digests, fetching, reading.
@@ -27,11 +30,8 @@
     }
 }
 
-void Distribution::Private::askAtStart(TimePoint now)
+std::vector<Introduction> Distribution::Private::startPeers() const
 {
-    if (!options.mechanisms.askPeersAtStart) {
-        return;
-    }
     std::vector<Introduction> peers;
     for (const Candidate &candidate : membership.view(membership.self().service).all) {
         if (candidate.name != membership.self().name) {
@@ -43,17 +43,37 @@
         }
     }
     peers.insert(peers.end(), membership.peers().begin(), membership.peers().end());
+    return peers;
+}
+
+void Distribution::Private::askAtStart(TimePoint now)
+{
+    if (!options.mechanisms.askPeersAtStart) {
+        return;
+    }
+    const std::vector<Introduction> peers = gate.takesMore() ? startPeers() : std::vector<Introduction>();
     for (const Introduction &peer : gate.takeDue(peers, now)) {
         VersionDigest ask = digest(peer.domain == membership.self().domain);
         ask.question = ++question;
         send(peer.name, peer.address, std::move(ask));
     }
-    if (peers.empty() && !membership.seeds().empty() && now >= nextSeed) {
-        nextSeed = now + options.startAnswerTimeout;
-        VersionDigest ask = digest(true);
-        ask.question = ++question;
-        send(NodeId(), membership.seeds()[question % membership.seeds().size()], std::move(ask));
+    askSeed(peers.empty() && membership.peers().empty(), now);
+}
+
+void Distribution::Private::askSeed(bool alone, TimePoint now)
+{
+    const std::span<const std::string> seeds = membership.seeds();
+    // All seeds are asked, also when one has answered: with one peer each, the nodes of a cold fleet form chains along which the first
+    // index travels too slowly to keep the others from reading it.
+    if (seeds.empty() || now < nextSeed || (!alone && seedsAsked >= seeds.size())) {
+        return;
     }
+    nextSeed = now + options.startAnswerTimeout;
+    VersionDigest ask = digest(true);
+    ask.question = ++question;
+    // Nodes that share their list of seeds begin at different ones.
+    const std::uint64_t first = hash64(membership.self().name.value());
+    send(NodeId(), seeds[(first + seedsAsked++) % seeds.size()], std::move(ask));
 }
 
 void Distribution::Private::askForInForce(TimePoint now)
