Bound the attempts of a request at each depth of its chain

Cause: the check of invariant 1 counted only the calls that a backend server began to run, and only the sum over the chain. Attempts that a backend server refused went uncounted, no depth had a bound of its own, and calls that name no request, which may be tried only once, were not looked at.

The judge now counts each attempt that reaches a backend server, bounds the attempts at each service, and bounds calls of no request to one attempt.

Conclusion: attempts stay bounded at each depth; the check can fail at a depth and for a call of no request.

--- a/tests/invariants/judge.cpp
+++ b/tests/invariants/judge.cpp
@@ -27,10 +27,26 @@
     story.sent.push_back(at);
 }
 
+void Judge::attempted(const Body &body, TimePoint at, const std::string &where, bool refused)
+{
+    Attempts &attempts = m_attempts[body.send][body.call];
+    attempts.service = body.service;
+    attempts.where.push_back(where);
+    const bool moves = body.booking && attempts.lastRefused && !attempts.moved && where != *(attempts.where.end() - 2);
+    attempts.moved = attempts.moved || moves;
+    attempts.lastRefused = refused;
+    if (body.single && attempts.where.size() > (attempts.moved ? 2 : 1)) {
+        std::string places;
+        for (const std::string &place : attempts.where) {
+            places += " " + place;
+        }
+        violated(1, at, nameOf(body) + " names no request but was tried on" + places);
+    }
+}
+
 void Judge::ran(const Body &body, TimePoint at, const std::string &where)
 {
     m_stories[nameOf(body)].runs.push_back({.at = at, .where = where, .call = body.call});
-    ++m_runsOfCalls[body.send][body.call];
 }
 
 void Judge::refusedNotRun(const Body &body, TimePoint at, const std::string &where)
@@ -62,26 +78,35 @@
     m_violations += "invariant " + std::to_string(invariant) + " at " + timeOf(at) + ": " + what + "\n";
 }
 
-std::string Judge::verdict(std::uint32_t mostRetries) const
+std::string Judge::verdict(std::uint32_t mostAttempts) const
 {
     std::string text = m_violations;
-    checkRetries(text, mostRetries);
+    checkRetries(text, mostAttempts);
     for (const auto &[name, story] : m_stories) {
         checkStory(text, name, story);
     }
     return text;
 }
 
-void Judge::checkRetries(std::string &text, std::uint32_t mostRetries) const
+void Judge::checkRetries(std::string &text, std::uint32_t mostAttempts) const
 {
-    for (const auto &[send, calls] : m_runsOfCalls) {
-        std::uint32_t retries = 0;
-        for (const auto &[call, runs] : calls) {
-            retries += runs - 1;
+    for (const auto &[send, calls] : m_attempts) {
+        std::size_t retries = 0;
+        // A service is a depth of the chain.
+        std::map<std::string, std::size_t> atService;
+        for (const auto &[call, attempts] : calls) {
+            const std::size_t count = attempts.where.size() - (attempts.moved ? 1 : 0);
+            retries += count - 1;
+            atService[attempts.service] += count;
         }
-        if (retries > mostRetries) {
+        if (retries >= mostAttempts) {
             text += "invariant 1: sending " + std::to_string(send) + " was retried " + std::to_string(retries) + " times\n";
         }
+        for (const auto &[service, count] : atService) {
+            if (count > mostAttempts) {
+                text += "invariant 1: sending " + std::to_string(send) + " had " + std::to_string(count) + " attempts at " + service + "\n";
+            }
+        }
     }
 }
 
--- a/tests/invariants/judge.h
+++ b/tests/invariants/judge.h
@@ -20,6 +20,8 @@
     std::string operation;
     std::string identity;
     bool booking = false;
+    // A backend server made this call, or one above it, without naming its request: it may be tried only once.
+    bool single = false;
 };
 
 // What a backend server sent, as it arrives at the other end.
@@ -37,6 +39,8 @@
 public:
     // A caller, or a backend server on behalf of a request, sent a call.
     void sent(const Body &body, TimePoint at);
+    // A call reached a backend server, which accepts it or refuses it at once.
+    void attempted(const Body &body, TimePoint at, const std::string &where, bool refused);
     // A backend server began to run a call.
     void ran(const Body &body, TimePoint at, const std::string &where);
     void refusedNotRun(const Body &body, TimePoint at, const std::string &where);
@@ -47,8 +51,9 @@
     // Any other violation, found where it occurred.
     void violated(int invariant, TimePoint at, const std::string &what);
 
-    // Checks the record as a whole. Violations found, as lines of text; empty if there is none. `mostRetries` is the budget of one sending.
-    std::string verdict(std::uint32_t mostRetries) const;
+    // Checks the record as a whole. Violations found, as lines of text; empty if there is none. `mostAttempts` is the bound for one
+    // sending on each service of its chain; the chain as a whole has one retry less.
+    std::string verdict(std::uint32_t mostAttempts) const;
     // Calls that got an answer, and runs; for the figures of a test run.
     std::size_t answers() const
     {
@@ -71,13 +76,24 @@
         std::vector<Event> refusals;
     };
 
-    void checkRetries(std::string &text, std::uint32_t mostRetries) const;
+    // Attempts of one call.
+    struct Attempts
+    {
+        std::string service;
+        // Places, in order, and whether the last one refused the call.
+        std::vector<std::string> where;
+        bool lastRefused = false;
+        // The owner of a booking may move its run once, from another instance whose backend server certainly refused it to its own.
+        bool moved = false;
+    };
+
+    void checkRetries(std::string &text, std::uint32_t mostAttempts) const;
     static void checkStory(std::string &text, const std::string &name, const Story &story);
 
     // By operation and identity.
     std::map<std::string, Story> m_stories;
-    // Runs of each call, by sending.
-    std::map<std::size_t, std::map<std::uint64_t, std::uint32_t>> m_runsOfCalls;
+    // Attempts of each call, by sending.
+    std::map<std::size_t, std::map<std::uint64_t, Attempts>> m_attempts;
     std::string m_violations;
     std::size_t m_answers = 0;
 };
--- a/tests/invariants/mechanisms_test.cpp
+++ b/tests/invariants/mechanisms_test.cpp
@@ -16,10 +16,37 @@
 
 TEST(InvariantMechanisms, retriesMultiplyWithoutTheBudget)
 {
-    CHECK_TRUE(isViolated(1, 1, MostSchedules, [](NodeOptions &options) {
-        options.retries.budgetEnabled = false;
-        options.retries.ratioEnabled = false;
-    }));
+    CHECK_TRUE(isViolated(
+        1, 1, MostSchedules,
+        [](NodeOptions &options) {
+            options.retries.budgetEnabled = false;
+            options.retries.ratioEnabled = false;
+        },
+        "was retried"));
+}
+
+// Guards against a bound that holds for a chain as a whole only, and so grows with its depth.
+TEST(InvariantMechanisms, attemptsMultiplyAtADepthWithoutTheBudget)
+{
+    CHECK_TRUE(isViolated(
+        1, 1, MostSchedules,
+        [](NodeOptions &options) {
+            options.retries.budgetEnabled = false;
+            options.retries.ratioEnabled = false;
+        },
+        "attempts at store"));
+}
+
+// Guards against retries of a call that belongs to no request, whose budget nobody knows.
+TEST(InvariantMechanisms, callsOfNoRequestAreRetriedWithoutTheBudget)
+{
+    CHECK_TRUE(isViolated(
+        1, 2, MostSchedules,
+        [](NodeOptions &options) {
+            options.retries.budgetEnabled = false;
+            options.retries.ratioEnabled = false;
+        },
+        "names no request"));
 }
 
 TEST(InvariantMechanisms, bookingsAreRefusedBeforeReadsWithoutPriority)
--- a/tests/invariants/simfleet.cpp
+++ b/tests/invariants/simfleet.cpp
@@ -158,7 +158,7 @@
 
 std::string SimFleet::verdict() const
 {
-    return m_judge.verdict(m_attempts - 1);
+    return m_judge.verdict(m_attempts);
 }
 
 SimHost *SimFleet::find(const std::string &address)
--- a/tests/invariants/simserver.cpp
+++ b/tests/invariants/simserver.cpp
@@ -26,7 +26,9 @@
         m_fleet.after(HandOver, [done] { done(ServerFailure::ConnectionRefused); });
         return;
     }
-    if (m_fleet.chance(m_fleet.schedule().refused)) {
+    const bool refused = m_fleet.chance(m_fleet.schedule().refused);
+    m_fleet.judge().attempted(body, m_fleet.now(), m_host.info().name.value(), refused);
+    if (refused) {
         m_fleet.judge().shedByServer(body);
         m_fleet.after(HandOver, [done] { done(ServerFailure::Overloaded); });
         return;
@@ -61,13 +63,14 @@
 void SimServer::callBelow(std::uint64_t number)
 {
     Run &run = m_runs.at(number);
-    const std::optional<Body> below = m_fleet.callBelow(run.body);
+    std::optional<Body> below = m_fleet.callBelow(run.body);
     if (!below) {
         finish(number, false);
         return;
     }
     m_fleet.judge().sent(*below, m_fleet.now());
     run.attributed = !m_fleet.chance(m_fleet.schedule().unattributed);
+    below->single = below->single || !run.attributed;
     m_host.arriveFromServer(*below, run.attributed ? run.requestId : "fresh-" + std::to_string(below->call),
                             [this, number, life = m_life, below = *below](const Outcome &outcome) {
                                 if (outcome.answer) {
