Send copies of a request during its whole resend time

Cause: the random schedules sent the second copy of a request within half of its resend time, too early for a member to have taken over the keys of a dead owner.

--- a/tests/invariants/schedule.cpp
+++ b/tests/invariants/schedule.cpp
@@ -43,7 +43,7 @@
     const auto request = rc::gen::build<Request>(
         rc::gen::set(&Request::at, inRange(0, FaultPhaseMs)), rc::gen::set(&Request::node, inRange(0, MostNodes)),
         rc::gen::set(&Request::resendNode, inRange(0, MostNodes)), rc::gen::set(&Request::operation, inRange(0, Operations)),
-        rc::gen::set(&Request::copyAfter, inRange(-100, ResendMs / 2)));
+        rc::gen::set(&Request::copyAfter, inRange(-100, ResendMs)));
     return rc::gen::build<Schedule>(
         rc::gen::set(&Schedule::seed, rc::gen::noShrink(rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<std::uint64_t>()))),
         rc::gen::set(&Schedule::books, inRange(2, 5)), rc::gen::set(&Schedule::others, inRange(1, 3)),
