Count only calls that work in the limit of a cold server

Cause: the limit of a cold server counted calls that wait for services below. High up in a chain of 27 nearly all of a slot's time is such waiting, so an eighth of the slots carried a small part of the load, the queue closed the admission level, and 30 s later 1,563 sends a second were still refused at 0.7 of the capacity. Ruled out: the bottleneck, whose level was open from second 15 on; those of the services above it were not. The new unit test fails without the change (limit 5 instead of 20).

--- a/src/core/overload/concurrencylimit.cpp
+++ b/src/core/overload/concurrencylimit.cpp
@@ -64,6 +64,8 @@
         latency.sum += seconds(ownTime);
         ++latency.count;
         ++m_calls;
+        m_ownTime += seconds(ownTime);
+        m_heldTime += seconds(m_clock.now() - started);
         m_callsAtLimit += running + 1 >= limit() ? 1 : 0;
     }
     const bool longEnough = m_clock.now() - m_windowStart >= m_options.window;
@@ -110,6 +112,8 @@
     m_calls = 0;
     m_callsAtLimit = 0;
     m_refusals = 0;
+    m_ownTime = 0.0;
+    m_heldTime = 0.0;
 }
 
 double ConcurrencyLimit::closeLatencies()
@@ -156,6 +160,9 @@
         m_slowWindows = 0;
         // A server that has become much faster is no longer contended: its limit is found again as after a cold start.
         m_slowStart = m_slowStart || (m_options.fastRegrowth && ratio <= FasterRatio && m_limit < m_slots);
+        if (m_slowStart) {
+            m_limit = std::max(m_limit, coldLimit());
+        }
         if (inUse) {
             grow();
         }
@@ -197,6 +204,12 @@
     }
 }
 
+double ConcurrencyLimit::coldLimit() const
+{
+    const double working = m_slots * m_options.coldShare;
+    return m_ownTime > 0.0 ? std::min(m_slots, working * m_heldTime / m_ownTime) : working;
+}
+
 void ConcurrencyLimit::shrink(double factor)
 {
     m_limit = std::max(1.0, m_limit * factor);
--- a/src/core/overload/concurrencylimit.h
+++ b/src/core/overload/concurrencylimit.h
@@ -49,6 +49,8 @@
     void adjust(double ratio, bool inUse);
     void judgeTrial(double ratio);
     void grow();
+    // Calls of which the cold share works in the server while the others wait for calls below.
+    double coldLimit() const;
     void shrink(double factor);
     void acceptLatencyAsFloor();
 
@@ -64,6 +66,9 @@
     unsigned m_calls = 0;
     unsigned m_callsAtLimit = 0;
     unsigned m_refusals = 0;
+    // Time of the window's calls in the server and in their slots, in seconds.
+    double m_ownTime = 0.0;
+    double m_heldTime = 0.0;
     unsigned m_slowWindows = 0;
     double m_lastRatio = 1.0;
 
--- a/src/core/overload/concurrencylimitoptions.h
+++ b/src/core/overload/concurrencylimitoptions.h
@@ -8,7 +8,7 @@
 
 struct ConcurrencyLimitOptions
 {
-    // Limit of a server that starts cold, as a share of its slots.
+    // Calls that may work in a server that starts cold, as a share of its slots. Those that wait for calls below do not load it.
     double coldShare = 0.125;
     // Growth of the latency over its floor that counts as queueing inside the backend server.
     double tolerance = 1.5;
--- a/tests/overload/concurrencylimit_test.cpp
+++ b/tests/overload/concurrencylimit_test.cpp
@@ -31,6 +31,16 @@
         }
     }
 
+    // The same, with calls that wait for calls below for the rest of the time in which they hold their slots.
+    void runWaiting(unsigned calls, Duration held, Duration ownTime)
+    {
+        for (unsigned call = 0; call < calls; ++call) {
+            const unsigned running = limit.limit();
+            m_clock.advance(held / running);
+            limit.finished(0, ownTime, CallOutcome::Completed, running, m_clock.now() - held);
+        }
+    }
+
     void hint(unsigned reads, unsigned running)
     {
         for (unsigned read = 0; read < reads; ++read) {
@@ -72,6 +82,18 @@
     LONGS_EQUAL(Slots, without.limit.limit());
 }
 
+// Guards against a cold service high up in a chain that sheds calls because its slots are held by calls that wait for services below.
+TEST(ConcurrencyLimit, countsOnlyWorkingCallsOfAColdServer)
+{
+    FullServer waiting({});
+    waiting.runWaiting(8, milliseconds(200), milliseconds(10));
+    LONGS_EQUAL(Slots, waiting.limit.limit());
+
+    FullServer working({});
+    working.runWaiting(8, milliseconds(200), milliseconds(200));
+    CHECK(working.limit.limit() < Slots / 2);
+}
+
 // Guards against too many slots in the questionnaire. Without learning the limit stays at the slots.
 TEST(ConcurrencyLimit, findsTheConcurrencyThatTheServerBears)
 {
