--- a/src/core/overload/levelcontrolleroptions.h
+++ b/src/core/overload/levelcontrolleroptions.h
@@ -40,8 +40,8 @@
     double holdSpeed = 20.0;
     // Speed at which the level opens while recovering, in units of the scale per second: the first one, its bounds, and its relative change
     // per second and unit of unused or exceeded utilisation. After 10 s of a surge of three times the capacity, a unit holds resends worth
-    // 0.08 s of the capacity. With a gain of 8 the level swings where callers take 1 s to send again. The largest speed bounds what comes in
-    // before the server feels it: after a service has been slow, a unit of reads holds resends worth 0.02 s of the capacity.
+    // 0.08 s of the capacity. With a gain of 8 the level swings where callers take 1 s to send again. The largest speed bounds what comes
+    // in before the server feels it: after a service has been slow, a unit of reads holds resends worth 0.02 s of the capacity.
     double firstSpeed = 2.0;
     double leastSpeed = 0.5;
     double largestSpeed = 30.0;
