--- a/bench/capacity/capacity_bench.cpp
+++ b/bench/capacity/capacity_bench.cpp
@@ -169,6 +169,7 @@
         std::printf("\n");
         std::fflush(stdout);
     }
+
     std::size_t pick(std::size_t count)
     {
         return std::uniform_int_distribution<std::size_t>(0, count - 1)(m_random);
--- a/src/lab/model/modelnode.cpp
+++ b/src/lab/model/modelnode.cpp
@@ -38,6 +38,14 @@
 {
 }
 
+ModelNode::~ModelNode()
+{
+    // A call below holds the handler of its reply, which holds the call that waits for it.
+    for (const auto &[id, call] : m_served) {
+        call->child = nullptr;
+    }
+}
+
 void ModelNode::configure(const std::vector<ServiceConfiguration> &services, const std::vector<std::vector<RouteCandidate>> &candidates)
 {
     m_admission.configure(services[m_service], {});
@@ -69,14 +77,6 @@
     forward(call);
 }
 
-ModelNode::~ModelNode()
-{
-    // A call below holds the handler of its reply, which holds the call that waits for it.
-    for (const auto &[id, call] : m_served) {
-        call->child = nullptr;
-    }
-}
-
 void ModelNode::cancelOutgoing(const Outgoing &call)
 {
     if (call->ended) {
