--- /dev/null
+++ b/src/core/relay/instancedirectory.cpp
@@ -0,0 +1,135 @@
+#include "core/relay/instancedirectory.h"
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace wisteriafork {
+
+InstanceDirectory::InstanceDirectory(const InstanceDirectoryOptions &options, const Clock &clock) : m_options(options), m_clock(clock)
+{
+}
+
+void InstanceDirectory::put(Instance instance)
+{
+    m_held.erase(instance.id);
+    if (const auto known = m_serviceOf.find(instance.id); known != m_serviceOf.end()) {
+        if (known->second == instance.service) {
+            auto &list = m_services[instance.service];
+            *std::ranges::find(list, instance.id, &Instance::id) = std::move(instance);
+            return;
+        }
+        erase(instance.id);
+    }
+    m_serviceOf.emplace(instance.id, instance.service);
+    m_services[instance.service].push_back(std::move(instance));
+}
+
+void InstanceDirectory::remove(const std::string &id)
+{
+    const Instance *known = find(id);
+    if (known == nullptr) {
+        return;
+    }
+    // An instance that said it leaves has left; only entries that vanish without that may belong to a live instance.
+    if (holdsRemovals() && !known->draining) {
+        m_held.emplace(id, m_holdUntil);
+        return;
+    }
+    erase(id);
+}
+
+void InstanceDirectory::replaceAll(std::vector<Instance> instances)
+{
+    std::unordered_set<std::string> listed;
+    for (Instance &instance : instances) {
+        listed.insert(instance.id);
+        put(std::move(instance));
+    }
+    std::vector<std::string> missing;
+    for (const auto &[id, service] : m_serviceOf) {
+        if (!listed.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    for (const std::string &id : missing) {
+        remove(id);
+    }
+}
+
+void InstanceDirectory::sourceLost()
+{
+    m_lost = true;
+}
+
+void InstanceDirectory::sourceRestored()
+{
+    if (m_lost) {
+        m_lost = false;
+        m_holdUntil = m_clock.now() + m_options.lapseHold;
+        for (auto &[id, until] : m_held) {
+            until = m_holdUntil;
+        }
+    }
+}
+
+void InstanceDirectory::tick()
+{
+    if (m_held.empty() || m_lost || m_clock.now() < m_holdUntil) {
+        return;
+    }
+    for (const auto &[id, until] : std::exchange(m_held, {})) {
+        erase(id);
+    }
+}
+
+std::span<const Instance> InstanceDirectory::of(const ServiceId &service) const
+{
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? std::span<const Instance>() : std::span<const Instance>(found->second);
+}
+
+const Instance *InstanceDirectory::find(std::string_view id) const
+{
+    const auto service = m_serviceOf.find(std::string(id));
+    if (service == m_serviceOf.end()) {
+        return nullptr;
+    }
+    const auto &list = m_services.at(service->second);
+    return &*std::ranges::find(list, id, &Instance::id);
+}
+
+const Instance *InstanceDirectory::atAddress(std::string_view address) const
+{
+    const Instance *latest = nullptr;
+    for (const auto &[service, list] : m_services) {
+        for (const Instance &instance : list) {
+            if (instance.address == address && (latest == nullptr || latest->draining || !instance.draining)) {
+                latest = &instance;
+            }
+        }
+    }
+    return latest;
+}
+
+std::size_t InstanceDirectory::size() const
+{
+    return m_serviceOf.size();
+}
+
+void InstanceDirectory::erase(const std::string &id)
+{
+    const auto known = m_serviceOf.find(id);
+    if (known == m_serviceOf.end()) {
+        return;
+    }
+    std::erase_if(m_services[known->second], [&id](const Instance &instance) { return instance.id == id; });
+    m_serviceOf.erase(known);
+    m_held.erase(id);
+}
+
+bool InstanceDirectory::holdsRemovals() const
+{
+    return m_lost || m_clock.now() < m_holdUntil;
+}
+
+} // namespace wisteriafork
--- /dev/null
+++ b/src/core/relay/instancedirectory.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "core/relay/instance.h"
+
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace wisteriafork {
+
+struct InstanceDirectoryOptions
+{
+    // Time after the list is readable again for which entries that lapsed meanwhile are kept. Live instances are listed again within about
+    // two seconds of that moment.
+    Duration lapseHold = std::chrono::milliseconds(2300);
+};
+
+// The instances that the platform lists, by service. Entries that vanish while the list cannot be read are kept for a short time after its
+// return, because the platform then drops instances that are alive. Not thread safe.
+class InstanceDirectory
+{
+public:
+    InstanceDirectory(const InstanceDirectoryOptions &options, const Clock &clock);
+
+    // An entry was read.
+    void put(Instance instance);
+    // An entry was removed.
+    void remove(const std::string &id);
+    // The whole list was read.
+    void replaceAll(std::vector<Instance> instances);
+    // The list cannot be read at present.
+    void sourceLost();
+    // The list can be read again.
+    void sourceRestored();
+    // Drops entries that were kept and have not come back. Call every 100 ms.
+    void tick();
+
+    // Listed instances of a service, also those that drain.
+    std::span<const Instance> of(const ServiceId &service) const;
+    const Instance *find(std::string_view id) const;
+    // Latest listed instance with the given backend server address.
+    const Instance *atAddress(std::string_view address) const;
+    std::size_t size() const;
+
+private:
+    void erase(const std::string &id);
+    bool holdsRemovals() const;
+
+    const InstanceDirectoryOptions m_options;
+    const Clock &m_clock;
+    std::map<ServiceId, std::vector<Instance>> m_services;
+    std::unordered_map<std::string, ServiceId> m_serviceOf;
+    // Removed entries that are kept until the hold time ends.
+    std::unordered_map<std::string, TimePoint> m_held;
+    bool m_lost = false;
+    TimePoint m_holdUntil{};
+};
+
+} // namespace wisteriafork
--- /dev/null
+++ b/src/core/relay/placement.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "core/base/clock.h"
+#include "core/base/random.h"
+#include "core/relay/instance.h"
+#include "core/relay/servingreport.h"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace wisteriafork {
+
+struct PlacementOptions
+{
+    // Cost of a call to another failure domain, in squared parts of the target latency: bytes between failure domains are expensive, so
+    // that a call leaves its failure domain only when it would otherwise take about 0.4 of its target longer.
+    double domainCost = 0.15;
+    // Cost of an instance whose calls all fail.
+    double failureCost = 4.0;
+    // Time in which a measured latency or failure loses its weight, so that an avoided instance is tried again.
+    Duration memory = std::chrono::milliseconds(3000);
+    // Pauses after a failed connection to the node of an instance: the first one, doubled each time up to the longest.
+    Duration firstPause = std::chrono::milliseconds(200);
+    Duration longestPause = std::chrono::milliseconds(1600);
+};
+
+// How a call to an instance ended, as far as it says something about the instance.
+enum class PlacementOutcome : std::uint8_t {
+    Answered,
+    // The instance failed the call.
+    Failed,
+    // The node beside the instance refused it for load or cannot run it now.
+    Refused,
+    // The node beside the instance cannot be reached, or the connection to it broke.
+    Unreachable,
+    // Given up by the caller; says nothing.
+    Abandoned,
+};
+
+// Chooses the instance for a call from measured latency, reported queues and failures; own failure domain first. Serves loads where single
+// instances are slow, full, failing or unreachable while others of their service are not. Not thread safe.
+class Placement
+{
+public:
+    Placement(const PlacementOptions &options, DomainId ownDomain, const Clock &clock);
+
+    // The best instance that is not excluded; null if there is none. `targetLatency` is that of the route.
+    const Instance *choose(std::span<const Instance> instances, std::span<const std::string> excluded, const std::string &route,
+                           Duration targetLatency) const;
+    void sent(const std::string &instance);
+    void ended(const std::string &instance, const std::string &route, PlacementOutcome outcome, Duration elapsed);
+    // A report that came with an answer or refusal.
+    void report(const std::string &instance, const ServingReport &report);
+    // Forgets instances that are not listed any more.
+    void forget(const std::string &instance);
+
+    // Recent share of failed calls of an instance, 0 to 1.
+    double failureShare(const std::string &instance) const;
+
+private:
+    struct Latency
+    {
+        double seconds = 0.0;
+        TimePoint updated;
+    };
+
+    struct State
+    {
+        unsigned outstanding = 0;
+        // Calls sent since the last report.
+        unsigned sentSinceReport = 0;
+        ServingReport report;
+        TimePoint reported;
+        std::unordered_map<std::string, Latency> latencies;
+        double failures = 0.0;
+        TimePoint failureUpdated;
+        unsigned pauses = 0;
+        TimePoint pausedUntil{};
+    };
+
+    double cost(const Instance &instance, const std::string &route, Duration targetLatency) const;
+    double weightOf(TimePoint updated) const;
+
+    const PlacementOptions m_options;
+    const DomainId m_ownDomain;
+    const Clock &m_clock;
+    std::unordered_map<std::string, State> m_states;
+};
+
+} // namespace wisteriafork
--- /dev/null
+++ b/src/core/relay/responsetime.cpp
@@ -0,0 +1,43 @@
+#include "core/relay/responsetime.h"
+
+#include <cmath>
+
+namespace wisteriafork {
+
+namespace {
+
+// Weights of one sample, and the distance from the mean in deviations, as in the retransmission timer of TCP (RFC 6298).
+constexpr double MeanWeight = 0.125;
+constexpr double DeviationWeight = 0.25;
+constexpr double Deviations = 4.0;
+// Samples before the estimate is used.
+constexpr unsigned EnoughSamples = 10;
+// Least time, so that a pause of a process does not count as a lost answer.
+constexpr double LeastSeconds = 0.15;
+
+} // namespace
+
+void ResponseTime::sample(const std::string &route, Duration time)
+{
+    Estimate &estimate = m_routes[route];
+    const double seconds = std::chrono::duration<double>(time).count();
+    if (estimate.samples++ == 0) {
+        estimate.mean = seconds;
+        estimate.deviation = seconds / 2;
+        return;
+    }
+    estimate.deviation += DeviationWeight * (std::abs(seconds - estimate.mean) - estimate.deviation);
+    estimate.mean += MeanWeight * (seconds - estimate.mean);
+}
+
+Duration ResponseTime::unusual(const std::string &route) const
+{
+    const auto found = m_routes.find(route);
+    if (found == m_routes.end() || found->second.samples < EnoughSamples) {
+        return Duration(0);
+    }
+    const double seconds = std::max(LeastSeconds, found->second.mean + Deviations * found->second.deviation);
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+} // namespace wisteriafork
--- /dev/null
+++ b/src/core/relay/routetable.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "core/relay/route.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace wisteriafork {
+
+// Routes of one configuration version. Immutable once built; shared by the requests that began under it.
+class RouteTable
+{
+public:
+    RouteTable(std::uint64_t version, std::vector<Route> routes);
+
+    std::uint64_t version() const
+    {
+        return m_version;
+    }
+
+    const std::vector<Route> &routes() const
+    {
+        return m_routes;
+    }
+
+    // Route of the host whose prefix is the longest that begins the path; null if there is none. A port in `host` is ignored, as is the
+    // query of `target`.
+    const Route *find(std::string_view host, std::string_view target) const;
+
+private:
+    std::uint64_t m_version;
+    std::vector<Route> m_routes;
+    // Index into the routes by host, line feed and prefix, so that a lookup takes one step for each slash of the path.
+    std::unordered_map<std::string, std::size_t> m_byPrefix;
+};
+
+} // namespace wisteriafork
--- /dev/null
+++ b/src/core/relay/servingqueue.cpp
@@ -0,0 +1,177 @@
+#include "core/relay/servingqueue.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace wisteriafork {
+
+namespace {
+
+// Weight of one request in the mean holding time of its route.
+constexpr double HoldingWeight = 0.1;
+// Part of the mean holding time that must be left for an inner call to start: its parent may still use a quick answer.
+constexpr double InnerShare = 0.5;
+
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+Duration fromSeconds(double value)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
+}
+
+} // namespace
+
+ServingQueue::ServingQueue(const ServingQueueOptions &options, const Clock &clock)
+    : m_options(options), m_clock(clock), m_pressure(options.pressure)
+{
+    setSlots(options.assumedSlots);
+}
+
+void ServingQueue::setSlots(unsigned slots)
+{
+    m_limit = std::max(1U, static_cast<unsigned>(std::floor(m_options.usedSlots * slots)));
+}
+
+ServingVerdict ServingQueue::offer(const ServingRequest &request)
+{
+    const Rank rank = rankOf(request);
+    const Duration wait = expectedWait(rank);
+    if (isTooLate(request, request.inner ? Duration(0) : wait)) {
+        return ServingVerdict::RefuseLate;
+    }
+    const TimePoint now = m_clock.now();
+    if (hasFreeSlot() && m_rankOf.empty()) {
+        start(request, now);
+        return ServingVerdict::Start;
+    }
+    const bool sheddable = !request.inner && request.priority > 0;
+    if (sheddable && seconds(wait) > m_options.waitShare * seconds(request.targetLatency)) {
+        return ServingVerdict::RefuseOverload;
+    }
+    m_waiting[rank].push_back({.request = request, .arrived = now});
+    m_rankOf.emplace(request.id, rank);
+    m_waitingWork[rank] += seconds(holdingTime(request.route));
+    return ServingVerdict::Wait;
+}
+
+void ServingQueue::finish(CallId id, bool completed)
+{
+    const auto found = m_running.find(id);
+    if (found == m_running.end()) {
+        return;
+    }
+    if (completed) {
+        const double held = seconds(m_clock.now() - found->second.started);
+        const auto [known, added] = m_holding.emplace(found->second.route, held);
+        known->second += HoldingWeight * (held - known->second);
+    }
+    m_running.erase(found);
+}
+
+bool ServingQueue::withdraw(CallId id)
+{
+    const auto known = m_rankOf.find(id);
+    if (known == m_rankOf.end()) {
+        return false;
+    }
+    auto &list = m_waiting[known->second];
+    const auto entry = std::ranges::find(list, id, [](const Waiting &waiting) { return waiting.request.id; });
+    double &work = m_waitingWork[known->second];
+    work = list.size() == 1 ? 0.0 : std::max(0.0, work - seconds(holdingTime(entry->request.route)));
+    list.erase(entry);
+    m_rankOf.erase(known);
+    return true;
+}
+
+std::vector<ServingQueue::Change> ServingQueue::poll()
+{
+    std::vector<Change> changes;
+    std::vector<CallId> late;
+    for (const auto &[rank, list] : m_waiting) {
+        for (const Waiting &waiting : list) {
+            if (isTooLate(waiting.request, Duration(0))) {
+                late.push_back(waiting.request.id);
+            }
+        }
+    }
+    for (const CallId id : late) {
+        m_greatestWait = std::max(m_greatestWait, m_options.pressure.targetWait + m_options.pressure.fullScale);
+        withdraw(id);
+        changes.push_back({.id = id, .verdict = ServingVerdict::RefuseLate});
+    }
+    for (auto &[rank, list] : m_waiting) {
+        while (hasFreeSlot() && !list.empty()) {
+            const Waiting next = list.front();
+            withdraw(next.request.id);
+            start(next.request, next.arrived);
+            changes.push_back({.id = next.request.id, .verdict = ServingVerdict::Start});
+        }
+    }
+    return changes;
+}
+
+void ServingQueue::tick()
+{
+    Duration greatest = std::exchange(m_greatestWait, Duration(0));
+    for (const auto &[rank, list] : m_waiting) {
+        if (!list.empty()) {
+            greatest = std::max<Duration>(greatest, m_clock.now() - list.front().arrived);
+        }
+    }
+    m_pressure.update(greatest);
+}
+
+Duration ServingQueue::holdingTime(const std::string &route) const
+{
+    const auto found = m_holding.find(route);
+    return found == m_holding.end() ? Duration(0) : fromSeconds(found->second);
+}
+
+ServingReport ServingQueue::report() const
+{
+    return {.limit = m_limit,
+            .running = static_cast<std::uint32_t>(m_running.size()),
+            .queued = static_cast<std::uint32_t>(m_rankOf.size()),
+            .expectedWait = expectedWait(std::numeric_limits<Rank>::max()),
+            .pressure = m_pressure.pressure()};
+}
+
+ServingQueue::Rank ServingQueue::rankOf(const ServingRequest &request)
+{
+    return request.inner ? 0 : 1 + request.priority;
+}
+
+bool ServingQueue::hasFreeSlot() const
+{
+    return m_running.size() < m_limit;
+}
+
+void ServingQueue::start(const ServingRequest &request, TimePoint arrived)
+{
+    const TimePoint now = m_clock.now();
+    m_greatestWait = std::max<Duration>(m_greatestWait, now - arrived);
+    m_running.emplace(request.id, Running{.route = request.route, .started = now});
+}
+
+Duration ServingQueue::expectedWait(Rank rank) const
+{
+    if (hasFreeSlot()) {
+        return Duration(0);
+    }
+    double work = 0.0;
+    for (const auto &[waitingRank, waitingWork] : m_waitingWork) {
+        work += waitingRank <= rank ? waitingWork : 0.0;
+    }
+    return fromSeconds(work / m_limit);
+}
+
+bool ServingQueue::isTooLate(const ServingRequest &request, Duration wait) const
+{
+    const double share = request.inner ? InnerShare : 1.0;
+    return m_clock.now() + wait + fromSeconds(share * seconds(holdingTime(request.route))) > request.deadline;
+}
+
+} // namespace wisteriafork
--- /dev/null
+++ b/src/core/relay/servingqueue.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "core/base/clock.h"
+#include "core/base/ids.h"
+#include "core/relay/pressurecontroller.h"
+#include "core/relay/servingreport.h"
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace wisteriafork {
+
+struct ServingQueueOptions
+{
+    // Part of the slots that is used. Some backend servers slow down when they are nearly full, and a new connection may hold a slot.
+    double usedSlots = 0.94;
+    // Part of the target latency that a request of a caller may wait before it is refused on arrival; a refusal within an eighth of the
+    // target leaves the caller time to come back.
+    double waitShare = 0.25;
+    // Slots assumed for an instance whose entry was not read.
+    unsigned assumedSlots = 8;
+    PressureOptions pressure;
+};
+
+// A request that is to run on the local backend server.
+struct ServingRequest
+{
+    CallId id = 0;
+    std::string route;
+    // Made by a backend server for an admitted request.
+    bool inner = false;
+    // 0 is the most urgent.
+    unsigned priority = 0;
+    TimePoint deadline;
+    Duration targetLatency{0};
+};
+
+enum class ServingVerdict : std::uint8_t {
+    Start,
+    Wait,
+    // Would wait longer than is useful.
+    RefuseOverload,
+    // Cannot be answered before its deadline.
+    RefuseLate,
+};
+
+// Decides which requests the local backend server runs, and when, so that the backend server's own queue stays empty: inner calls of
+// admitted requests first, then by priority, then by arrival. Each request is offered once; a waiting one is named by a later `poll`. Each
+// started one is finished once. Not thread safe.
+class ServingQueue
+{
+public:
+    struct Change
+    {
+        CallId id = 0;
+        ServingVerdict verdict = ServingVerdict::Start;
+    };
+
+    ServingQueue(const ServingQueueOptions &options, const Clock &clock);
+
+    void setSlots(unsigned slots);
+    ServingVerdict offer(const ServingRequest &request);
+    // Ends a started request. `completed` is true if the backend server answered it; its time then counts for the estimates.
+    void finish(CallId id, bool completed);
+    // Ends a waiting request. False if it does not wait.
+    bool withdraw(CallId id);
+    // Waiting requests that start now or are refused now. Call after `finish` and on each tick.
+    std::vector<Change> poll();
+    // Updates the pressure. Call every 100 ms.
+    void tick();
+
+    // Mean time for which a request of the route occupies a slot; zero if unknown.
+    Duration holdingTime(const std::string &route) const;
+    ServingReport report() const;
+
+private:
+    struct Waiting
+    {
+        ServingRequest request;
+        TimePoint arrived;
+    };
+
+    struct Running
+    {
+        std::string route;
+        TimePoint started;
+    };
+
+    using Rank = unsigned;
+
+    static Rank rankOf(const ServingRequest &request);
+    bool hasFreeSlot() const;
+    void start(const ServingRequest &request, TimePoint arrived);
+    // Time until a new request of the rank would start.
+    Duration expectedWait(Rank rank) const;
+    bool isTooLate(const ServingRequest &request, Duration wait) const;
+
+    const ServingQueueOptions m_options;
+    const Clock &m_clock;
+    unsigned m_limit = 1;
+    std::map<Rank, std::list<Waiting>> m_waiting;
+    std::unordered_map<CallId, Rank> m_rankOf;
+    std::unordered_map<CallId, Running> m_running;
+    // Seconds that the waiting requests of each rank will occupy a slot.
+    std::map<Rank, double> m_waitingWork;
+    std::unordered_map<std::string, double> m_holding;
+    PressureController m_pressure;
+    Duration m_greatestWait{0};
+};
+
+} // namespace wisteriafork
--- /dev/null
+++ b/src/core/relay/servingreport.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "core/base/clock.h"
+
+#include <cstdint>
+
+namespace wisteriafork {
+
+// State of an instance and of its queue, attached by the node beside it to each answer and refusal.
+struct ServingReport
+{
+    // Requests that may run at the same time, and requests running and waiting under that limit.
+    std::uint32_t limit = 0;
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+    // Time for which a request that arrives now would wait.
+    Duration expectedWait{0};
+    // Share of the requests of callers that should be refused at their entry, 0 to 1: the greatest of this instance and of the services
+    // that the answered route calls.
+    double pressure = 0.0;
+    // The node stops and takes no further calls of other nodes.
+    bool leaving = false;
+};
+
+} // namespace wisteriafork
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstddef>
 #include <memory>
+#include <string>
 
 namespace wisteriafork {
 
@@ -19,6 +20,11 @@
     // Unused connections are closed after this time. It should be shorter than the server's own keep-alive time, because a request that
     // meets a closing connection has an unknown outcome.
     std::chrono::milliseconds idleTimeout{4000};
+    // Accept answers whose body ends with the connection, if it is closed in order.
+    bool allowUndelimited = false;
+    // Header field that the server repeats from the request, in lower case. An answer with another value belongs to an earlier request and
+    // is skipped. Empty if the server repeats none.
+    std::string echoedField;
     HttpLimits limits;
 };
 
--- a/src/net/httpclientconnection.cpp
+++ b/src/net/httpclientconnection.cpp
@@ -2,10 +2,33 @@
 
 #include "net/http1text.h"
 
+#include <algorithm>
 #include <array>
+#include <charconv>
 
 namespace wisteriafork {
 
+namespace {
+
+// A connection is given up this long before the server closes it, so that no request crosses the close.
+constexpr std::chrono::milliseconds IdleMargin{1000};
+
+// Seconds of "timeout=5, max=100"; nothing if they are not given.
+std::optional<unsigned> keepAliveSeconds(std::string_view value)
+{
+    constexpr std::string_view Name = "timeout=";
+    const std::size_t start = value.find(Name);
+    unsigned seconds = 0;
+    if (start == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const std::string_view number = value.substr(start + Name.size());
+    const auto [end, error] = std::from_chars(number.data(), number.data() + number.size(), seconds);
+    return error == std::errc() ? std::optional(seconds) : std::nullopt;
+}
+
+} // namespace
+
 void HttpClientJob::cancel()
 {
     if (m_finished.exchange(true)) {
@@ -40,7 +63,7 @@
     , m_pool(std::move(pool))
     , m_socket(asio::make_strand(context))
     , m_timer(m_socket.get_executor())
-    , m_reader(options.limits)
+    , m_reader(options.limits, options.allowUndelimited)
     , m_host(options.server.address().to_string() + ":" + std::to_string(options.server.port()))
 {
 }
@@ -141,6 +164,10 @@
     if (m_phase == Phase::Closed) {
         return;
     }
+    if (input.empty() && m_phase == Phase::Running && m_socketInput.endedInOrder() && m_reader.finishAtEnd() && answersCurrentRequest()) {
+        answerComplete(true);
+        return;
+    }
     if (input.empty() || m_phase != Phase::Running) {
         fail(ExchangeError::Broken);
         return;
@@ -157,7 +184,12 @@
         joined += input;
         input = joined;
     }
-    switch (m_reader.consume(input)) {
+    ResponseReader::State state = m_reader.consume(input);
+    while (state == ResponseReader::State::Complete && !answersCurrentRequest()) {
+        m_reader.start(m_job->request->method == "HEAD");
+        state = m_reader.consume(input);
+    }
+    switch (state) {
     case ResponseReader::State::NeedMore:
         m_unparsed = input;
         break;
@@ -173,14 +205,31 @@
     }
 }
 
+bool HttpClientConnection::answersCurrentRequest() const
+{
+    if (m_options.echoedField.empty()) {
+        return true;
+    }
+    const std::string_view sent = m_job->request->headers.find(m_options.echoedField);
+    return sent.empty() || m_reader.field(m_options.echoedField) == sent;
+}
+
+std::chrono::milliseconds HttpClientConnection::idleTime() const
+{
+    const std::optional<unsigned> seconds = keepAliveSeconds(m_reader.field("keep-alive"));
+    return seconds ? std::min<std::chrono::milliseconds>(m_options.idleTimeout, std::chrono::seconds(*seconds) - IdleMargin)
+                   : m_options.idleTimeout;
+}
+
 void HttpClientConnection::answerComplete(bool inputLeft)
 {
     const std::shared_ptr<HttpClientJob> job = std::exchange(m_job, nullptr);
-    const bool reusable = m_reader.keepAlive() && !inputLeft && !m_writing;
+    const std::chrono::milliseconds idle = idleTime();
+    const bool reusable = m_reader.keepAlive() && !inputLeft && !m_writing && idle.count() > 0;
     HttpResponse response = m_reader.takeResponse();
     if (reusable) {
         m_phase = Phase::Idle;
-        m_timer.expireAfter(m_options.idleTimeout);
+        m_timer.expireAfter(idle);
         if (const auto pool = m_pool.lock()) {
             pool->connectionIdle(shared_from_this());
         }
--- a/src/net/httpclientconnection.h
+++ b/src/net/httpclientconnection.h
@@ -89,7 +89,11 @@
     void waitForInput();
     void onReceived(std::string_view input);
     void onInput(std::string_view input);
+    // The answer carries the mark of the request that is in progress.
+    bool answersCurrentRequest() const;
     void answerComplete(bool inputLeft);
+    // Time for which the connection may stay unused before the server closes it.
+    std::chrono::milliseconds idleTime() const;
     void deadlineReached();
     void fail(ExchangeError error);
     void close();
--- a/src/net/requestreader.cpp
+++ b/src/net/requestreader.cpp
@@ -54,6 +54,19 @@
         continueTaken = false;
     }
 
+    // The framing of the request is unambiguous: HTTP/1.1 names its host (RFC 9112, 3.2), and a transfer coding other than "chunked" would
+    // hide where the body ends (6.1).
+    bool headerIsAcceptable() const
+    {
+        const auto &message = parser->get();
+        const auto hosts = message.equal_range(http::field::host);
+        const auto hostCount = std::distance(hosts.first, hosts.second);
+        if (hostCount > 1 || (hostCount == 0 && message.version() >= 11)) {
+            return false;
+        }
+        return message.find(http::field::transfer_encoding) == message.end() || parser->chunked();
+    }
+
     HttpLimits limits;
     std::optional<http::request_parser<http::string_body>> parser;
     bool started = false;
@@ -87,7 +100,7 @@
         if (error == http::error::body_limit) {
             return State::BodyTooLarge;
         }
-        if (error) {
+        if (error || (d->parser->is_header_done() && !d->headerIsAcceptable())) {
             return State::Malformed;
         }
     }
--- a/src/net/responsereader.cpp
+++ b/src/net/responsereader.cpp
@@ -32,6 +32,12 @@
         return error == http::error::body_limit ? State::TooLarge : State::Malformed;
     }
 
+    bool hasUnknownCoding() const
+    {
+        const auto &message = parser->get();
+        return message.find(http::field::transfer_encoding) != message.end() && !parser->chunked();
+    }
+
     bool isDelimited() const
     {
         const unsigned status = parser->get().result_int();
@@ -39,13 +45,15 @@
     }
 
     HttpLimits limits;
+    bool allowUndelimited = false;
     std::optional<http::response_parser<http::string_body>> parser;
     bool answersHead = false;
 };
 
-ResponseReader::ResponseReader(const HttpLimits &limits) : d(std::make_unique<Private>())
+ResponseReader::ResponseReader(const HttpLimits &limits, bool allowUndelimited) : d(std::make_unique<Private>())
 {
     d->limits = limits;
+    d->allowUndelimited = allowUndelimited;
     start(false);
 }
 
@@ -74,13 +82,29 @@
             if (d->parser->is_done()) {
                 d->start();
             }
-        } else if (status == 101 || status > 599 || !d->isDelimited()) {
+        } else if (status == 101 || status > 599 || d->hasUnknownCoding() || !(d->allowUndelimited || d->isDelimited())) {
             return State::Malformed;
         }
     }
     return d->parser->is_done() ? State::Complete : State::NeedMore;
 }
 
+bool ResponseReader::finishAtEnd()
+{
+    if (!d->allowUndelimited || !d->parser->is_header_done() || d->isDelimited()) {
+        return false;
+    }
+    ErrorCode error;
+    d->parser->put_eof(error);
+    return !error && d->parser->is_done();
+}
+
+std::string_view ResponseReader::field(std::string_view name) const
+{
+    const auto found = d->parser->get().find(boost::beast::string_view(name.data(), name.size()));
+    return found == d->parser->get().end() ? std::string_view() : std::string_view(found->value().data(), found->value().size());
+}
+
 HttpResponse ResponseReader::takeResponse()
 {
     auto &message = d->parser->get();
--- a/src/net/socketinput.cpp
+++ b/src/net/socketinput.cpp
@@ -18,6 +18,7 @@
     if (error == asio::error::would_block) {
         return std::nullopt;
     }
+    m_endedInOrder = error == asio::error::eof;
     return error ? std::string_view() : std::string_view(readBuffer.data(), size);
 }
 
--- a/src/net/socketinput.h
+++ b/src/net/socketinput.h
@@ -32,11 +32,18 @@
         });
     }
 
+    // True if the last wait ended because the sender closed its half of the connection in order; false after a reset.
+    bool endedInOrder() const
+    {
+        return m_endedInOrder;
+    }
+
 private:
     // Nothing if no bytes are there after all.
-    static std::optional<std::string_view> readAvailable(Socket &socket, const ErrorCode &waitError);
+    std::optional<std::string_view> readAvailable(Socket &socket, const ErrorCode &waitError);
 
     bool m_waiting = false;
+    bool m_endedInOrder = false;
 };
 
 } // namespace wisteriafork
--- a/src/observability/eventcatalogue.cpp
+++ b/src/observability/eventcatalogue.cpp
@@ -55,6 +55,15 @@
 constexpr Names<4> Denied{"address", "method", "path", "reason"};
 constexpr Names<2> Connections{"address", "limit"};
 
+constexpr Names<10> RelayAnswer{"request", "route", "instance", "outcome", "status", "seconds", "attempts", "pressure", "version", "origin"};
+constexpr Names<5> RelayMove{"request", "route", "instance", "reason", "listed"};
+constexpr Names<1> DroppedLines{"lines"};
+constexpr Names<4> ListedInstance{"instance", "service", "address", "state"};
+constexpr Names<1> InstanceName{"instance"};
+constexpr Names<1> InstanceCount{"instances"};
+constexpr Names<1> File{"file"};
+constexpr Names<2> PublishedValue{"key", "error"};
+
 constexpr std::array Catalogue{
     EventDescription{Number::NodeStarted, "node-started", Severity::Info, Started},
     EventDescription{Number::NodeStopped, "node-stopped", Severity::Info, Reason},
@@ -114,6 +123,16 @@
     EventDescription{Number::AdministrationServed, "administration-served", Severity::Info, Served},
     EventDescription{Number::AdministrationDenied, "administration-denied", Severity::Warning, Denied},
     EventDescription{Number::AdministrationConnectionLimit, "administration-connection-limit", Severity::Warning, Connections},
+    EventDescription{Number::RelayAnswered, "relay-answered", Severity::Info, RelayAnswer},
+    EventDescription{Number::RelayMoved, "relay-moved", Severity::Info, RelayMove},
+    EventDescription{Number::DecisionLinesDropped, "decision-lines-dropped", Severity::Info, DroppedLines},
+    EventDescription{Number::InstanceListed, "instance-listed", Severity::Info, ListedInstance},
+    EventDescription{Number::InstanceRemoved, "instance-removed", Severity::Info, InstanceName},
+    EventDescription{Number::InstancesRead, "instances-read", Severity::Info, InstanceCount},
+    EventDescription{Number::SourceLost, "source-lost", Severity::Warning, Reason},
+    EventDescription{Number::SourceRestored, "source-restored", Severity::Info, {}},
+    EventDescription{Number::SettingsReread, "settings-reread", Severity::Info, File},
+    EventDescription{Number::PublishedValueRejected, "published-value-rejected", Severity::Warning, PublishedValue},
 };
 
 } // namespace
--- a/src/observability/eventnumber.h
+++ b/src/observability/eventnumber.h
@@ -73,6 +73,17 @@
     AdministrationServed = 900,
     AdministrationDenied = 901,
     AdministrationConnectionLimit = 902,
+    // Relay of requests by routes
+    RelayAnswered = 1000,
+    RelayMoved = 1001,
+    DecisionLinesDropped = 1002,
+    InstanceListed = 1003,
+    InstanceRemoved = 1004,
+    InstancesRead = 1005,
+    SourceLost = 1006,
+    SourceRestored = 1007,
+    SettingsReread = 1008,
+    PublishedValueRejected = 1009,
 };
 
 } // namespace wisteriafork
--- /dev/null
+++ b/src/relay/callerhandler.cpp
@@ -0,0 +1,40 @@
+#include "relay/callerhandler.h"
+
+#include <vector>
+
+namespace wisteriafork {
+
+CallerHandler::CallerHandler(RelayParts &parts, ServingGateway &serving, PeerGateway &peers)
+    : m_parts(parts), m_serving(serving), m_peers(peers)
+{
+}
+
+void CallerHandler::handleRequest(std::shared_ptr<ServerExchange> exchange)
+{
+    exchange->tag = ++m_lastTag;
+    const std::uint64_t tag = exchange->tag;
+    auto call = std::make_shared<RelayCall>(m_parts, m_serving, m_peers, std::move(exchange));
+    call->start();
+    if (!call->isFinished()) {
+        m_calls.emplace(tag, std::move(call));
+    }
+}
+
+void CallerHandler::handleGone(ServerExchange &exchange)
+{
+    const auto found = m_calls.find(exchange.tag);
+    if (found != m_calls.end()) {
+        found->second->callerGone();
+        m_calls.erase(found);
+    }
+}
+
+void CallerHandler::wake()
+{
+    std::erase_if(m_calls, [](const auto &entry) {
+        entry.second->wake();
+        return entry.second->isFinished();
+    });
+}
+
+} // namespace wisteriafork
--- /dev/null
+++ b/src/relay/callerhandler.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "net/serverexchange.h"
+#include "relay/peergateway.h"
+#include "relay/relaycall.h"
+#include "relay/relayparts.h"
+#include "relay/servinggateway.h"
+
+#include <memory>
+#include <unordered_map>
+
+namespace wisteriafork {
+
+// Takes the requests of callers and of the local backend server.
+class CallerHandler : public ServerHandler
+{
+public:
+    CallerHandler(RelayParts &parts, ServingGateway &serving, PeerGateway &peers);
+
+    void handleRequest(std::shared_ptr<ServerExchange> exchange) override;
+    void handleGone(ServerExchange &exchange) override;
+    // Does what has become due for the open calls, and forgets finished ones. Called every few milliseconds.
+    void wake();
+
+    bool isIdle() const
+    {
+        return m_calls.empty();
+    }
+
+private:
+    RelayParts &m_parts;
+    ServingGateway &m_serving;
+    PeerGateway &m_peers;
+    std::unordered_map<std::uint64_t, std::shared_ptr<RelayCall>> m_calls;
+    std::uint64_t m_lastTag = 0;
+};
+
+} // namespace wisteriafork
--- /dev/null
+++ b/src/relay/peergateway.cpp
@@ -0,0 +1,56 @@
+#include "relay/peergateway.h"
+
+#include "relay/relayheaders.h"
+
+namespace wisteriafork {
+
+namespace {
+
+// A session with open streams that is silent for this time is pinged, and closed after the same time again: a node that cannot be reached
+// is found within the shortest target latency of inner calls (300 ms) and its double.
+constexpr std::chrono::milliseconds PingAfter{300};
+// Two round trips between the farthest failure domains, with a lost packet.
+constexpr std::chrono::milliseconds ConnectTimeout{400};
+constexpr std::chrono::milliseconds ReconnectPause{100};
+// A body of the largest size that callers may send (64 MiB) passes through one stream.
+constexpr std::size_t LargestBody = std::size_t{64} * 1024 * 1024;
+
+} // namespace
+
+PeerOptions relayPeerOptions()
+{
+    PeerOptions options;
+    options.limits.requestBodyBytes = LargestBody;
+    options.limits.answerBodyBytes = LargestBody;
+    options.connectTimeout = ConnectTimeout;
+    options.reconnectPause = ReconnectPause;
+    options.pingAfter = PingAfter;
+    return options;
+}
+
+PeerGateway::PeerGateway(RelayParts &parts) : m_parts(parts), m_pool(parts.context, relayPeerOptions())
+{
+}
+
+std::shared_ptr<ClientExchange> PeerGateway::send(const std::string &address, const RelayRequest &request, AttemptHandler handler)
+{
+    auto finished = [this, handler = std::move(handler)](tl::expected<HttpResponse, ExchangeError> result) {
+        AttemptOutcome outcome{.result = OutcomeUnknown{.nodeLost = true}};
+        if (result) {
+            if (std::optional<AttemptOutcome> decoded = decodeOutcome(std::move(*result))) {
+                outcome = std::move(*decoded);
+            }
+        } else if (result.error() == ExchangeError::NotSent) {
+            outcome.result = NotRun{.reason = NotRunReason::Unreachable};
+        }
+        asio::post(m_parts.context, [handler, outcome = std::move(outcome)]() mutable { handler(std::move(outcome)); });
+    };
+    return m_pool.send(address, request.http, encodeRelayRequest(request, m_parts.clock.now()), std::move(finished));
+}
+
+void PeerGateway::stop()
+{
+    m_pool.stop();
+}
+
+} // namespace wisteriafork
--- /dev/null
+++ b/src/relay/peerhandler.cpp
@@ -0,0 +1,33 @@
+#include "relay/peerhandler.h"
+
+#include "relay/relayheaders.h"
+
+namespace wisteriafork {
+
+PeerHandler::PeerHandler(RelayParts &parts, ServingGateway &serving) : m_parts(parts), m_serving(serving)
+{
+}
+
+void PeerHandler::handleRequest(std::shared_ptr<ServerExchange> exchange)
+{
+    std::optional<RelayRequest> request = decodeRelayRequest(exchange->request, m_parts.clock.now());
+    if (!request) {
+        m_parts.log.write(EventNumber::MessageMalformed, {exchange->remoteAddress, "the description of the call is malformed"});
+        exchange->respond({.status = 400});
+        return;
+    }
+    exchange->tag = m_serving.serve(std::move(*request), [this, exchange](AttemptOutcome outcome) {
+        const bool refused = std::holds_alternative<NotRun>(outcome.result);
+        m_parts.metrics.count(refused ? RelayCounter::RefusedForPeers : RelayCounter::ServedForPeers);
+        exchange->respond(encodeOutcome(std::move(outcome)));
+    });
+}
+
+void PeerHandler::handleGone(ServerExchange &exchange)
+{
+    if (exchange.tag != 0) {
+        m_serving.cancel(exchange.tag);
+    }
+}
+
+} // namespace wisteriafork
--- /dev/null
+++ b/src/relay/readinesshandler.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "net/serverexchange.h"
+
+#include <functional>
+#include <string>
+
+namespace wisteriafork {
+
+// Answers readiness checks on any path: 200 while the node takes work, else 503. `metrics` is the handler of the metrics listener.
+class ReadinessHandler : public ServerHandler
+{
+public:
+    ReadinessHandler(std::function<bool()> isReady, std::function<std::string()> metricsText);
+
+    ServerHandler &metrics()
+    {
+        return m_metrics;
+    }
+
+    void handleRequest(std::shared_ptr<ServerExchange> exchange) override;
+    void handleGone(ServerExchange &exchange) override;
+
+private:
+    class MetricsHandler : public ServerHandler
+    {
+    public:
+        explicit MetricsHandler(std::function<std::string()> metricsText);
+
+        void handleRequest(std::shared_ptr<ServerExchange> exchange) override;
+        void handleGone(ServerExchange &exchange) override;
+
+    private:
+        const std::function<std::string()> m_text;
+    };
+
+    const std::function<bool()> m_isReady;
+    MetricsHandler m_metrics;
+};
+
+} // namespace wisteriafork
--- /dev/null
+++ b/src/relay/relay.cpp
@@ -0,0 +1,220 @@
+#include "relay/relay.h"
+
+#include "daemon/repeatingtimer.h"
+#include "daemon/steadyclock.h"
+#include "net/httpserver.h"
+#include "net/peerserver.h"
+#include "relay/callerhandler.h"
+#include "relay/peerhandler.h"
+#include "relay/readinesshandler.h"
+
+#include <sstream>
+
+namespace wisteriafork {
+
+namespace {
+
+// Calls end, and late answers are asked for again, at most this time after they are due.
+constexpr std::chrono::milliseconds WakeInterval{20};
+constexpr std::chrono::milliseconds TickInterval{100};
+// Time after the signal to stop for which callers may still come: they are told to stay away by two readiness checks, one a second.
+constexpr std::chrono::milliseconds StopNotice{2300};
+// Time before the process is killed at which it ends by itself.
+constexpr std::chrono::milliseconds StopReserve{400};
+constexpr std::size_t LargestBody = std::size_t{64} * 1024 * 1024;
+constexpr std::chrono::seconds CallerIdle{120};
+
+HttpLimits callerLimits()
+{
+    HttpLimits limits;
+    limits.requestBodyBytes = LargestBody;
+    limits.answerBodyBytes = LargestBody;
+    limits.idleTimeout = CallerIdle;
+    return limits;
+}
+
+std::string text(const Tcp::endpoint &endpoint)
+{
+    std::ostringstream stream;
+    stream << endpoint;
+    return stream.str();
+}
+
+} // namespace
+
+class Relay::Private
+{
+public:
+    Private(asio::io_context &context, RelaySettings settings, EventLog &log)
+        : parts(context, std::move(settings), clock, log)
+        , serving(parts)
+        , peers(parts)
+        , callers(parts, serving, peers)
+        , peerHandler(parts, serving)
+        , readiness([this] { return parts.routes != nullptr && !parts.stopping; }, [this] { return parts.metrics.text(); })
+        , callerServer(context, callers, callerLimits())
+        , peerServer(context, peerHandler, relayPeerOptions())
+        , readinessServer(context, readiness, HttpLimits{})
+        , metricsServer(context, readiness.metrics(), HttpLimits{})
+        , wakeTimer(context, WakeInterval, [this] { wake(); })
+        , tickTimer(context, TickInterval, [this] { tick(); })
+    {
+        parts.ownPeerAddress = text(parts.settings.peers);
+    }
+
+    void wake()
+    {
+        callers.wake();
+        serving.poll();
+        if (parts.stopping) {
+            checkStop();
+        }
+    }
+
+    void tick()
+    {
+        parts.directory.tick();
+        serving.tick();
+        if (const Instance *own = parts.directory.atAddress(text(parts.settings.server))) {
+            parts.queue.setSlots(own->slots);
+        }
+    }
+
+    void checkStop()
+    {
+        const Duration since = clock.now() - stopStarted;
+        const bool idle = callers.isIdle() && serving.isIdle();
+        const bool noticed = since >= StopNotice;
+        if (noticed && !listenerStopped) {
+            listenerStopped = true;
+            callerServer.stop();
+        }
+        const bool closed = callerServer.connectionCount() == 0 && peerServer.sessionCount() == 0;
+        const bool atBound = since >= parts.settings.stopGrace - StopReserve;
+        if ((noticed && idle && closed) || atBound) {
+            parts.log.write(EventNumber::DrainFinished,
+                            {"0", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(since).count())});
+            finish();
+        }
+    }
+
+    void finish()
+    {
+        wakeTimer.stop();
+        tickTimer.stop();
+        serving.stop();
+        peers.stop();
+        if (const auto done = std::exchange(stopped, nullptr)) {
+            done();
+        }
+    }
+
+    SteadyClock clock;
+    RelayParts parts;
+    ServingGateway serving;
+    PeerGateway peers;
+    CallerHandler callers;
+    PeerHandler peerHandler;
+    ReadinessHandler readiness;
+    HttpServer callerServer;
+    PeerServer peerServer;
+    HttpServer readinessServer;
+    HttpServer metricsServer;
+    RepeatingTimer wakeTimer;
+    RepeatingTimer tickTimer;
+    std::function<void()> stopped;
+    TimePoint stopStarted;
+    bool listenerStopped = false;
+    bool lost = false;
+};
+
+Relay::Relay(asio::io_context &context, RelaySettings settings, EventLog &log)
+    : d(std::make_unique<Private>(context, std::move(settings), log))
+{
+}
+
+Relay::~Relay() = default;
+
+void Relay::start()
+{
+    const RelaySettings &settings = d->parts.settings;
+    d->callerServer.listen(settings.callers);
+    d->peerServer.listen(settings.peers);
+    d->readinessServer.listen(settings.readiness);
+    if (settings.metrics.port() != 0) {
+        d->metricsServer.listen(settings.metrics);
+    }
+    d->wakeTimer.start();
+    d->tickTimer.start();
+    d->parts.log.write(EventNumber::NodeStarted,
+                       {settings.node, "0", settings.service.value(), settings.domain.value(), text(settings.peers), "relay"});
+}
+
+void Relay::applyRoutes(RouteTable table)
+{
+    const std::uint64_t inForce = configurationVersion();
+    if (d->parts.routes && table.version() <= inForce) {
+        if (table.version() < inForce) {
+            d->parts.log.write(EventNumber::OlderConfigurationIgnored, {std::to_string(table.version()), std::to_string(inForce)});
+        }
+        return;
+    }
+    d->parts.log.write(EventNumber::ConfigurationInForce, {std::to_string(table.version()), std::to_string(table.routes().size()) + " routes"});
+    d->parts.routes = std::make_shared<const RouteTable>(std::move(table));
+}
+
+std::uint64_t Relay::configurationVersion() const
+{
+    return d->parts.routes ? d->parts.routes->version() : 0;
+}
+
+void Relay::putInstance(Instance instance)
+{
+    d->parts.log.write(EventNumber::InstanceListed, {instance.id, instance.service.value(), instance.address, instance.draining ? "draining" : "ready"});
+    d->parts.directory.put(std::move(instance));
+}
+
+void Relay::removeInstance(const std::string &id)
+{
+    d->parts.log.write(EventNumber::InstanceRemoved, {id});
+    d->parts.directory.remove(id);
+    if (d->parts.directory.find(id) == nullptr) {
+        d->parts.placement.forget(id);
+    }
+}
+
+void Relay::replaceInstances(std::vector<Instance> instances)
+{
+    d->parts.log.write(EventNumber::InstancesRead, {std::to_string(instances.size())});
+    d->parts.directory.replaceAll(std::move(instances));
+}
+
+void Relay::sourceLost(const std::string &reason)
+{
+    if (!std::exchange(d->lost, true)) {
+        d->parts.log.write(EventNumber::SourceLost, {reason});
+        d->parts.directory.sourceLost();
+    }
+}
+
+void Relay::sourceRestored()
+{
+    if (std::exchange(d->lost, false)) {
+        d->parts.log.write(EventNumber::SourceRestored, {});
+        d->parts.directory.sourceRestored();
+    }
+}
+
+void Relay::stop(std::function<void()> stopped)
+{
+    if (d->parts.stopping) {
+        return;
+    }
+    d->parts.stopping = true;
+    d->stopped = std::move(stopped);
+    d->stopStarted = d->clock.now();
+    d->parts.log.write(EventNumber::DrainStarted, {"signal"});
+    d->peerServer.stop();
+}
+
+} // namespace wisteriafork
--- /dev/null
+++ b/src/relay/relaycall.cpp
@@ -0,0 +1,359 @@
+#include "relay/relaycall.h"
+
+#include "core/base/hashing.h"
+#include "net/refusalresponse.h"
+
+#include <charconv>
+#include <cstdio>
+
+namespace wisteriafork {
+
+namespace {
+
+// Sends of one request to instances that did not run it.
+constexpr unsigned MostMoves = 3;
+// Part of the target latency for which a caller's request waits for a usable instance before it is refused; up to an eighth, a refusal costs
+// the caller next to nothing.
+constexpr double PlaceShare = 0.12;
+// Part of the remaining time for which an inner call waits for one: its parent fails without it.
+constexpr double InnerPlaceShare = 0.5;
+// Time that must be left for another attempt.
+constexpr Duration LeastRemaining = std::chrono::milliseconds(20);
+// Retry-After before the first configuration is known.
+constexpr Duration UnconfiguredRetryAfter = std::chrono::milliseconds(500);
+// Pressure of a route above which slow answers are due to load and are not asked for a second time.
+constexpr double MostHedgePressure = 0.1;
+
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+std::string secondsText(Duration duration)
+{
+    char text[32];
+    const int size = std::snprintf(text, sizeof(text), "%.3f", seconds(duration));
+    return {text, static_cast<std::size_t>(size)};
+}
+
+std::optional<std::chrono::milliseconds> deadlineOf(const HttpRequest &request, const std::string &field)
+{
+    const std::string_view text = request.headers.find(field);
+    std::int64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    return error == std::errc() && value >= 0 ? std::optional(std::chrono::milliseconds(value)) : std::nullopt;
+}
+
+} // namespace
+
+RelayCall::RelayCall(RelayParts &parts, ServingGateway &serving, PeerGateway &peers, std::shared_ptr<ServerExchange> exchange)
+    : m_parts(parts), m_serving(serving), m_peers(peers), m_exchange(std::move(exchange)), m_arrived(parts.clock.now())
+{
+}
+
+void RelayCall::start()
+{
+    const std::string &remote = m_exchange->remoteAddress;
+    m_inner = remote == m_parts.settings.server.address().to_string();
+    m_parts.metrics.count(m_inner ? RelayCounter::InnerCalls : RelayCounter::CallerRequests);
+    if (!findRoute() || !admit()) {
+        return;
+    }
+    m_service = m_parts.split.choose(*m_route);
+    m_parts.retries.firstSend(m_service);
+    const double share = m_inner ? InnerPlaceShare * seconds(m_deadline - m_arrived) : PlaceShare * seconds(m_route->targetLatency);
+    m_placeUntil = m_arrived + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(share));
+    if (!sendNext()) {
+        m_waitsForInstance = true;
+    }
+}
+
+bool RelayCall::findRoute()
+{
+    const HttpRequest &request = *m_exchange->request;
+    m_routes = m_parts.routes;
+    if (!m_routes) {
+        HttpResponse response = errorResponse(503, "no configuration is known yet");
+        response.headers.add("retry-after", secondsText(UnconfiguredRetryAfter));
+        m_parts.metrics.count(RelayCounter::NoRoute);
+        respond(std::move(response), "unconfigured");
+        return false;
+    }
+    m_route = m_routes->find(request.headers.find("host"), request.target);
+    if (m_route == nullptr) {
+        m_parts.metrics.count(RelayCounter::NoRoute);
+        respond(errorResponse(404, "no route matches the host and path"), "no-route");
+        return false;
+    }
+    Duration wait = m_route->timeout;
+    if (const auto stated = deadlineOf(request, m_parts.settings.headers.deadline)) {
+        wait = std::min<Duration>(wait, *stated);
+    }
+    m_deadline = m_arrived + wait;
+    return true;
+}
+
+bool RelayCall::admit()
+{
+    if (m_inner) {
+        m_parts.calls.called(m_route->name);
+        return true;
+    }
+    const HttpRequest &request = *m_exchange->request;
+    m_identity = hash64(request.target, hash64(request.body, hash64(request.headers.find("host"))));
+    if (m_parts.admission.admit(m_route->name, m_route->priority, m_parts.pressure.of(m_route->name), m_identity)) {
+        return true;
+    }
+    m_parts.metrics.count(RelayCounter::RefusedAtEntry);
+    refuse("refused-at-entry");
+    return false;
+}
+
+bool RelayCall::sendNext()
+{
+    const Instance *instance
+        = m_parts.placement.choose(m_parts.directory.of(m_service), m_tried, m_route->name, m_route->targetLatency);
+    if (instance == nullptr) {
+        return false;
+    }
+    sendTo(*instance);
+    return true;
+}
+
+void RelayCall::sendTo(const Instance &instance)
+{
+    const std::size_t index = m_attempts.size();
+    m_attempts.push_back({.instance = instance.id, .started = m_parts.clock.now()});
+    m_tried.push_back(instance.id);
+    m_parts.placement.sent(instance.id);
+    const Duration unusual = m_parts.responseTime.unusual(m_route->name);
+    m_hedgeAt = unusual > Duration(0) ? m_parts.clock.now() + unusual : TimePoint::max();
+    RelayRequest request{.http = m_exchange->request,
+                         .instance = instance.id,
+                         .route = m_route->name,
+                         .kind = m_route->kind,
+                         .inner = m_inner,
+                         .priority = m_route->priority,
+                         .targetLatency = m_route->targetLatency,
+                         .deadline = m_deadline,
+                         .callerService = m_parts.settings.service.value()};
+    auto handler = [self = shared_from_this(), index](AttemptOutcome outcome) { self->ended(index, std::move(outcome)); };
+    if (instance.peerAddress == m_parts.ownPeerAddress) {
+        m_attempts[index].local = m_serving.serve(std::move(request), std::move(handler));
+    } else {
+        m_attempts[index].exchange = m_peers.send(instance.peerAddress, request, std::move(handler));
+    }
+}
+
+void RelayCall::ended(std::size_t index, AttemptOutcome outcome)
+{
+    if (m_finished || !m_attempts[index].open) {
+        return;
+    }
+    m_attempts[index].open = false;
+    const Attempt attempt = m_attempts[index];
+    if (outcome.report) {
+        m_parts.placement.report(attempt.instance, *outcome.report);
+        m_parts.pressure.report(m_route->name, outcome.report->pressure);
+    }
+    std::visit([this, &attempt](auto &result) { on(attempt, result); }, outcome.result);
+}
+
+void RelayCall::on(const Attempt &attempt, ServerAnswer &answer)
+{
+    const Duration took = m_parts.clock.now() - attempt.started;
+    const bool failed = answer.response.status >= 500;
+    m_parts.placement.ended(attempt.instance, m_route->name, failed ? PlacementOutcome::Failed : PlacementOutcome::Answered, took);
+    ++m_sends;
+    if (!failed) {
+        m_parts.responseTime.sample(m_route->name, took);
+        relay(std::move(answer.response), RelayCounter::Succeeded);
+        return;
+    }
+    m_mayHaveRun = true;
+    m_failure = std::move(answer.response);
+    if (hasOpenAttempt()) {
+        return;
+    }
+    if (!mayRepeat() || !sendNext()) {
+        conclude();
+    }
+}
+
+void RelayCall::on(const Attempt &attempt, const NotRun &result)
+{
+    const bool reached = result.reason == NotRunReason::RefusedByServer;
+    const bool unreachable = result.reason == NotRunReason::Unreachable || result.reason == NotRunReason::Leaving;
+    const PlacementOutcome outcome = reached ? PlacementOutcome::Failed
+        : unreachable                        ? PlacementOutcome::Unreachable
+                                             : PlacementOutcome::Refused;
+    m_parts.placement.ended(attempt.instance, m_route->name, outcome, m_parts.clock.now() - attempt.started);
+    m_parts.log.decision(EventNumber::RelayMoved, false,
+                         {std::string(m_exchange->request->headers.find(m_parts.settings.headers.requestId)), m_route->name, attempt.instance,
+                          describeNotRun(result.reason), std::to_string(m_parts.directory.size())});
+    m_sends += reached ? 1 : 0;
+    if (hasOpenAttempt()) {
+        return;
+    }
+    const bool allowed = result.reason != NotRunReason::TooLate && m_moves < MostMoves && (!reached || mayRepeat());
+    ++m_moves;
+    if (!allowed || m_parts.clock.now() + LeastRemaining > m_deadline || !sendNext()) {
+        conclude();
+    }
+}
+
+void RelayCall::on(const Attempt &attempt, const OutcomeUnknown &result)
+{
+    m_parts.placement.ended(attempt.instance, m_route->name, result.nodeLost ? PlacementOutcome::Unreachable : PlacementOutcome::Failed,
+                            m_parts.clock.now() - attempt.started);
+    ++m_sends;
+    m_mayHaveRun = true;
+    if (hasOpenAttempt()) {
+        return;
+    }
+    if (!mayRepeat() || !sendNext()) {
+        conclude();
+    }
+}
+
+bool RelayCall::mayRepeat()
+{
+    if (m_mayHaveRun && m_route->kind == RequestKind::NonIdempotent) {
+        return false;
+    }
+    if (m_sends >= m_route->maxAttempts || m_parts.clock.now() + LeastRemaining > m_deadline || !m_parts.retries.take(m_service)) {
+        return false;
+    }
+    m_parts.metrics.count(RelayCounter::Repeats);
+    return true;
+}
+
+bool RelayCall::mayHedge() const
+{
+    return m_route->kind == RequestKind::Idempotent && m_attempts.size() == 1 && m_attempts.front().open && m_route->maxAttempts > 1
+        && m_parts.pressure.of(m_route->name) < MostHedgePressure;
+}
+
+bool RelayCall::hasOpenAttempt() const
+{
+    return std::ranges::any_of(m_attempts, &Attempt::open);
+}
+
+void RelayCall::wake()
+{
+    if (m_finished) {
+        return;
+    }
+    const auto self = shared_from_this();
+    const TimePoint now = m_parts.clock.now();
+    if (now >= m_deadline) {
+        if (hasOpenAttempt()) {
+            m_mayHaveRun = true;
+        }
+        conclude();
+        return;
+    }
+    if (m_waitsForInstance) {
+        if (sendNext()) {
+            m_waitsForInstance = false;
+        } else if (now >= m_placeUntil) {
+            m_parts.metrics.count(RelayCounter::NoInstance);
+            refuse("no-instance");
+        }
+        return;
+    }
+    if (now >= m_hedgeAt) {
+        m_hedgeAt = TimePoint::max();
+        if (mayHedge() && m_parts.retries.take(m_service) && sendNext()) {
+            m_parts.metrics.count(RelayCounter::Hedges);
+        }
+    }
+}
+
+void RelayCall::callerGone()
+{
+    if (!m_finished) {
+        m_finished = true;
+        m_parts.metrics.count(RelayCounter::CallerGone);
+        cancelAttempts();
+    }
+}
+
+void RelayCall::conclude()
+{
+    if (m_failure) {
+        relay(std::move(*m_failure), RelayCounter::FailedByServer);
+    } else if (!m_mayHaveRun) {
+        m_parts.metrics.count(RelayCounter::RefusedLater);
+        refuse("not-run");
+    } else if (m_parts.clock.now() >= m_deadline) {
+        fail(504, RelayCounter::TimedOut, "timed-out");
+    } else {
+        fail(502, RelayCounter::OutcomeUnknown, "outcome-unknown");
+    }
+}
+
+void RelayCall::refuse(const char *reason)
+{
+    HttpResponse response = errorResponse(503, reason);
+    if (!m_inner) {
+        m_parts.admission.refusedLater(m_identity);
+        const double spread = std::uniform_real_distribution<double>()(m_parts.random);
+        response.headers.add("retry-after", secondsText(m_parts.admission.retryAfter(m_route->targetLatency, spread)));
+    }
+    respond(std::move(response), reason);
+}
+
+void RelayCall::relay(HttpResponse response, RelayCounter counter)
+{
+    m_parts.metrics.count(counter);
+    respond(std::move(response), counter == RelayCounter::Succeeded ? "succeeded" : "failed-by-server");
+}
+
+void RelayCall::fail(unsigned status, RelayCounter counter, const char *reason)
+{
+    m_parts.metrics.count(counter);
+    respond(errorResponse(status, reason), reason);
+}
+
+void RelayCall::respond(HttpResponse response, const char *event)
+{
+    m_finished = true;
+    cancelAttempts();
+    const bool ordinary = response.status < 500;
+    if (ordinary) {
+        m_parts.metrics.answered(elapsed());
+    }
+    if (m_parts.log.accepts(ordinary)) {
+        m_parts.log.decision(EventNumber::RelayAnswered, ordinary,
+                             {std::string(m_exchange->request->headers.find(m_parts.settings.headers.requestId)),
+                              m_route == nullptr ? std::string() : m_route->name, m_tried.empty() ? std::string() : m_tried.back(), event,
+                              std::to_string(response.status), secondsText(elapsed()), std::to_string(m_attempts.size()),
+                              m_route == nullptr ? std::string() : secondsText(std::chrono::duration_cast<Duration>(
+                                  std::chrono::duration<double>(m_parts.pressure.of(m_route->name)))),
+                              std::to_string(m_routes ? m_routes->version() : 0), m_inner ? "inner" : m_exchange->remoteAddress});
+    }
+    m_exchange->respond(std::move(response));
+}
+
+void RelayCall::cancelAttempts()
+{
+    for (Attempt &attempt : m_attempts) {
+        if (!std::exchange(attempt.open, false)) {
+            continue;
+        }
+        m_parts.placement.ended(attempt.instance, m_route->name, PlacementOutcome::Abandoned, Duration(0));
+        if (attempt.exchange) {
+            attempt.exchange->cancel();
+        } else {
+            m_serving.cancel(attempt.local);
+        }
+    }
+}
+
+Duration RelayCall::elapsed() const
+{
+    return m_parts.clock.now() - m_arrived;
+}
+
+} // namespace wisteriafork
--- /dev/null
+++ b/src/relay/relaycall.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "net/serverexchange.h"
+#include "relay/attemptoutcome.h"
+#include "relay/peergateway.h"
+#include "relay/relayparts.h"
+#include "relay/servinggateway.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace wisteriafork {
+
+// One request of a caller or of the local backend server, from its arrival to its answer. The node at which it arrives decides alone to
+// which instances it is sent: a non-idempotent request goes to another instance only when it has certainly not run.
+class RelayCall : public std::enable_shared_from_this<RelayCall>
+{
+public:
+    RelayCall(RelayParts &parts, ServingGateway &serving, PeerGateway &peers, std::shared_ptr<ServerExchange> exchange);
+
+    void start();
+    void callerGone();
+    // Does what has become due. Called every few milliseconds.
+    void wake();
+
+    bool isFinished() const
+    {
+        return m_finished;
+    }
+
+private:
+    struct Attempt
+    {
+        std::string instance;
+        TimePoint started;
+        // Set for the local backend server and for another node, respectively.
+        CallId local = 0;
+        std::shared_ptr<ClientExchange> exchange;
+        bool open = true;
+    };
+
+    bool findRoute();
+    bool admit();
+    // Sends the request to the best instance that was not tried. False if there is none.
+    bool sendNext();
+    void sendTo(const Instance &instance);
+    void ended(std::size_t index, AttemptOutcome outcome);
+    void on(const Attempt &attempt, ServerAnswer &answer);
+    void on(const Attempt &attempt, const NotRun &result);
+    void on(const Attempt &attempt, const OutcomeUnknown &result);
+    bool mayRepeat();
+    bool mayHedge() const;
+    bool hasOpenAttempt() const;
+    // Nothing more can be tried: gives the answer that is true for what has happened.
+    void conclude();
+    void refuse(const char *reason);
+    void relay(HttpResponse response, RelayCounter counter);
+    void fail(unsigned status, RelayCounter counter, const char *reason);
+    void respond(HttpResponse response, const char *event);
+    void cancelAttempts();
+    Duration elapsed() const;
+
+    RelayParts &m_parts;
+    ServingGateway &m_serving;
+    PeerGateway &m_peers;
+    std::shared_ptr<ServerExchange> m_exchange;
+    const TimePoint m_arrived;
+    // Keeps the route alive.
+    std::shared_ptr<const RouteTable> m_routes;
+    const Route *m_route = nullptr;
+    ServiceId m_service;
+    bool m_inner = false;
+    std::uint64_t m_identity = 0;
+    TimePoint m_deadline;
+    TimePoint m_hedgeAt = TimePoint::max();
+    TimePoint m_placeUntil{};
+    std::vector<Attempt> m_attempts;
+    std::vector<std::string> m_tried;
+    // Failure of an instance that is passed on if no other attempt succeeds.
+    std::optional<HttpResponse> m_failure;
+    // Sends that reached an instance, as far as is known.
+    unsigned m_sends = 0;
+    unsigned m_moves = 0;
+    bool m_mayHaveRun = false;
+    bool m_waitsForInstance = false;
+    bool m_finished = false;
+};
+
+} // namespace wisteriafork
--- /dev/null
+++ b/src/relay/relaymetrics.cpp
@@ -0,0 +1,68 @@
+#include "relay/relaymetrics.h"
+
+#include <sstream>
+#include <string_view>
+
+namespace wisteriafork {
+
+namespace {
+
+constexpr std::array<std::string_view, static_cast<std::size_t>(RelayCounter::Count)> CounterNames{
+    "caller_requests", "inner_calls", "succeeded", "failed_by_server", "refused_at_entry", "refused_later",    "no_instance",       "timed_out",
+    "outcome_unknown", "no_route",    "caller_gone", "repeats",        "hedges",           "served_for_peers", "refused_for_peers",
+};
+
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+template <typename Histogram>
+void writeHistogram(std::ostream &out, std::string_view name, const Histogram &histogram)
+{
+    double total = 0.0;
+    out << "# TYPE wisteriafork_relay_" << name << "_seconds histogram\n";
+    for (auto &&bin : boost::histogram::indexed(histogram, boost::histogram::coverage::all)) {
+        total += *bin;
+        out << "wisteriafork_relay_" << name << "_seconds_bucket{le=\"" << bin.bin().upper() << "\"} " << total << '\n';
+    }
+    out << "wisteriafork_relay_" << name << "_seconds_count " << total << '\n';
+}
+
+} // namespace
+
+RelayMetrics::RelayMetrics()
+    : m_answered(boost::histogram::make_histogram(
+        boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>(40, 0.0001, 10.0, "seconds")))
+    , m_ran(m_answered)
+{
+}
+
+void RelayMetrics::count(RelayCounter counter)
+{
+    ++m_counters[static_cast<std::size_t>(counter)];
+}
+
+void RelayMetrics::answered(Duration time)
+{
+    m_answered(seconds(time));
+}
+
+void RelayMetrics::ran(Duration time)
+{
+    m_ran(seconds(time));
+}
+
+std::string RelayMetrics::text() const
+{
+    std::ostringstream out;
+    for (std::size_t index = 0; index < m_counters.size(); ++index) {
+        out << "# TYPE wisteriafork_relay_" << CounterNames[index] << "_total counter\nwisteriafork_relay_" << CounterNames[index] << "_total "
+            << m_counters[index] << '\n';
+    }
+    writeHistogram(out, "answer", m_answered);
+    writeHistogram(out, "run", m_ran);
+    return out.str();
+}
+
+} // namespace wisteriafork
--- /dev/null
+++ b/src/relay/relayparts.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "core/base/random.h"
+#include "core/relay/calllearning.h"
+#include "core/relay/edgeadmission.h"
+#include "core/relay/instancedirectory.h"
+#include "core/relay/placement.h"
+#include "core/relay/responsetime.h"
+#include "core/relay/retrybudget.h"
+#include "core/relay/routepressure.h"
+#include "core/relay/routetable.h"
+#include "core/relay/servingqueue.h"
+#include "core/relay/weightedsplit.h"
+#include "net/asio.h"
+#include "relay/relaylog.h"
+#include "relay/relaymetrics.h"
+#include "relay/relaysettings.h"
+
+#include <memory>
+
+namespace wisteriafork {
+
+// Decision components and tables of one relay, shared by its request handlers. All of them run on the one thread of the relay.
+struct RelayParts
+{
+    RelayParts(asio::io_context &ioContext, RelaySettings relaySettings, const Clock &nodeClock, EventLog &eventLog)
+        : context(ioContext)
+        , settings(std::move(relaySettings))
+        , clock(nodeClock)
+        , log(eventLog, clock)
+        , random(settings.seed)
+        , directory(settings.directory, clock)
+        , placement(settings.placement, settings.domain, clock)
+        , retries(settings.retries)
+        , admission(settings.admission, clock)
+        , pressure(clock)
+        , calls(CallLearningOptions{})
+        , queue(settings.serving, clock)
+    {
+    }
+
+    asio::io_context &context;
+    const RelaySettings settings;
+    const Clock &clock;
+    RelayLog log;
+    RelayMetrics metrics;
+    RandomEngine random;
+    // Null until the first configuration is known.
+    std::shared_ptr<const RouteTable> routes;
+    InstanceDirectory directory;
+    Placement placement;
+    RetryBudget retries;
+    EdgeAdmission admission;
+    RoutePressure pressure;
+    CallLearning calls;
+    ServingQueue queue;
+    WeightedSplit split;
+    ResponseTime responseTime;
+    // Address at which other nodes reach this one.
+    std::string ownPeerAddress;
+    bool stopping = false;
+};
+
+} // namespace wisteriafork
--- /dev/null
+++ b/src/relay/relayrequest.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "core/base/clock.h"
+#include "core/relay/route.h"
+#include "net/httpmessage.h"
+
+#include <memory>
+#include <string>
+
+namespace wisteriafork {
+
+// A request on its way to one instance.
+struct RelayRequest
+{
+    std::shared_ptr<const HttpRequest> http;
+    // Instance that is to run it.
+    std::string instance;
+    std::string route;
+    RequestKind kind = RequestKind::NonIdempotent;
+    // Made by a backend server for a request that was admitted before.
+    bool inner = false;
+    unsigned priority = 0;
+    Duration targetLatency{0};
+    // Local time at which the answer is no longer of use.
+    TimePoint deadline;
+    // Service of the host on which the request began.
+    std::string callerService;
+};
+
+} // namespace wisteriafork
--- /dev/null
+++ b/src/relay/relaysettings.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "core/base/ids.h"
+#include "core/relay/edgeadmission.h"
+#include "core/relay/instancedirectory.h"
+#include "core/relay/placement.h"
+#include "core/relay/retrybudget.h"
+#include "core/relay/servingqueue.h"
+#include "net/asio.h"
+#include "relay/headernames.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace wisteriafork {
+
+// What one relay needs to know of its host and of the deployment.
+struct RelaySettings
+{
+    std::string node;
+    ServiceId service;
+    DomainId domain;
+    // Listeners for callers and the local backend server, for other nodes, and for the readiness check.
+    Tcp::endpoint callers;
+    Tcp::endpoint peers;
+    Tcp::endpoint readiness;
+    // Listener for metrics; port 0 means none.
+    Tcp::endpoint metrics;
+    // The local backend server.
+    Tcp::endpoint server;
+    HeaderNames headers;
+    // Time between the signal to stop and the moment at which the process is killed.
+    std::chrono::milliseconds stopGrace{6000};
+    std::uint64_t seed = 1;
+    EdgeAdmissionOptions admission;
+    InstanceDirectoryOptions directory;
+    PlacementOptions placement;
+    RetryBudgetOptions retries;
+    ServingQueueOptions serving;
+};
+
+} // namespace wisteriafork
--- /dev/null
+++ b/src/relay/servinggateway.cpp
@@ -0,0 +1,202 @@
+#include "relay/servinggateway.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace wisteriafork {
+
+namespace {
+
+// Connections to the backend server: more than it has slots, because a connection is given up after some failures.
+constexpr std::size_t ServerConnections = 512;
+// The backend server is on this host, so a connection is made at once or not at all.
+constexpr std::chrono::milliseconds ConnectTimeout{500};
+constexpr unsigned MisdirectedStatus = 421;
+
+HttpClientOptions clientOptions(const RelaySettings &settings)
+{
+    return {.server = settings.server,
+            .connections = ServerConnections,
+            .connectTimeout = ConnectTimeout,
+            .allowUndelimited = true,
+            .echoedField = settings.headers.requestId};
+}
+
+ServingRequest servingRequest(CallId id, const RelayRequest &request)
+{
+    return {.id = id,
+            .route = request.route,
+            .inner = request.inner,
+            .priority = request.priority,
+            .deadline = request.deadline,
+            .targetLatency = request.targetLatency};
+}
+
+NotRunReason reasonOf(ServingVerdict verdict)
+{
+    return verdict == ServingVerdict::RefuseLate ? NotRunReason::TooLate : NotRunReason::Overloaded;
+}
+
+} // namespace
+
+ServingGateway::ServingGateway(RelayParts &parts) : m_parts(parts), m_client(parts.context, clientOptions(parts.settings))
+{
+}
+
+CallId ServingGateway::serve(RelayRequest request, AttemptHandler handler)
+{
+    const CallId id = ++m_lastId;
+    const ServingRequest offered = servingRequest(id, request);
+    m_calls.emplace(id, Call{.request = std::move(request), .handler = std::move(handler)});
+    const ServingVerdict verdict = m_parts.queue.offer(offered);
+    if (verdict == ServingVerdict::Start) {
+        start(id);
+    } else if (verdict != ServingVerdict::Wait) {
+        asio::post(m_parts.context, [this, id, verdict] { finish(id, {.result = NotRun{.reason = reasonOf(verdict)}}); });
+    }
+    return id;
+}
+
+void ServingGateway::cancel(CallId id)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end()) {
+        return;
+    }
+    Call &call = found->second;
+    if (call.running && call.request.kind == RequestKind::NonIdempotent) {
+        call.handler = nullptr;
+        return;
+    }
+    if (call.running) {
+        call.exchange->cancel();
+        m_parts.queue.finish(id, false);
+        m_parts.calls.ended(id, false);
+    } else {
+        m_parts.queue.withdraw(id);
+    }
+    m_calls.erase(found);
+    poll();
+}
+
+void ServingGateway::poll()
+{
+    for (const ServingQueue::Change &change : m_parts.queue.poll()) {
+        if (change.verdict == ServingVerdict::Start) {
+            start(change.id);
+        } else {
+            finish(change.id, {.result = NotRun{.reason = reasonOf(change.verdict)}});
+        }
+    }
+}
+
+void ServingGateway::tick()
+{
+    m_parts.queue.tick();
+    poll();
+}
+
+void ServingGateway::stop()
+{
+    m_client.stop();
+}
+
+void ServingGateway::start(CallId id)
+{
+    Call &call = m_calls.at(id);
+    const HeaderNames &names = m_parts.settings.headers;
+    const auto left = std::chrono::floor<std::chrono::milliseconds>(call.request.deadline - m_parts.clock.now());
+    HttpHeaders extra;
+    extra.add(names.deadline, std::to_string(std::max<std::int64_t>(1, left.count())));
+    extra.add(names.expectedInstance, call.request.instance);
+    extra.add(names.callerService, call.request.callerService);
+    call.running = true;
+    call.started = m_parts.clock.now();
+    m_parts.calls.started(id, call.request.route);
+    call.exchange = m_client.send(call.request.http, std::move(extra), [this, id](tl::expected<HttpResponse, ExchangeError> result) {
+        answered(id, std::move(result));
+    });
+}
+
+void ServingGateway::answered(CallId id, tl::expected<HttpResponse, ExchangeError> result)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end()) {
+        return;
+    }
+    if (result) {
+        learnSlots(result->headers.find(m_parts.settings.headers.instanceLoad));
+        result->headers.remove(m_parts.settings.headers.instanceLoad);
+    }
+    AttemptOutcome outcome = evaluate(std::move(result));
+    const auto *answer = std::get_if<ServerAnswer>(&outcome.result);
+    const bool completed = answer != nullptr && answer->response.status < 500;
+    if (completed) {
+        m_parts.metrics.ran(m_parts.clock.now() - found->second.started);
+    }
+    m_parts.queue.finish(id, completed);
+    m_parts.calls.ended(id, completed);
+    finish(id, std::move(outcome));
+    poll();
+}
+
+AttemptOutcome ServingGateway::evaluate(tl::expected<HttpResponse, ExchangeError> result) const
+{
+    if (!result) {
+        if (result.error() == ExchangeError::NotSent) {
+            return {.result = NotRun{.reason = NotRunReason::Unreachable}};
+        }
+        return {.result = OutcomeUnknown{}};
+    }
+    const HeaderNames &names = m_parts.settings.headers;
+    if (result->status == MisdirectedStatus) {
+        return {.result = NotRun{.reason = NotRunReason::OtherInstance}};
+    }
+    if (result->headers.contains(names.notExecuted)) {
+        return {.result = NotRun{.reason = NotRunReason::RefusedByServer}};
+    }
+    // An answer without the mark, or with a coding that was not asked for, was not made by the backend server for this request.
+    if (!result->headers.contains(names.seal) || result->headers.contains("content-encoding")) {
+        return {.result = OutcomeUnknown{}};
+    }
+    return {.result = ServerAnswer{.response = std::move(*result)}};
+}
+
+void ServingGateway::finish(CallId id, AttemptOutcome outcome)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end()) {
+        return;
+    }
+    const Call call = std::move(found->second);
+    m_calls.erase(found);
+    outcome.report = reportFor(call.request.route);
+    if (call.handler) {
+        call.handler(std::move(outcome));
+    }
+}
+
+void ServingGateway::learnSlots(std::string_view load)
+{
+    const std::size_t comma = load.rfind(',');
+    unsigned slots = 0;
+    if (comma == std::string_view::npos) {
+        return;
+    }
+    const auto [end, error] = std::from_chars(load.data() + comma + 1, load.data() + load.size(), slots);
+    if (error == std::errc() && slots > 0) {
+        m_parts.queue.setSlots(slots);
+    }
+}
+
+ServingReport ServingGateway::reportFor(const std::string &route) const
+{
+    ServingReport report = m_parts.queue.report();
+    for (const std::string &callee : m_parts.calls.calleesOf(route)) {
+        report.pressure = std::max(report.pressure, m_parts.pressure.of(callee));
+    }
+    report.leaving = m_parts.stopping;
+    return report;
+}
+
+} // namespace wisteriafork
--- /dev/null
+++ b/src/relay/servinggateway.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "net/httpclient.h"
+#include "relay/attemptoutcome.h"
+#include "relay/relayparts.h"
+#include "relay/relayrequest.h"
+
+#include <memory>
+#include <unordered_map>
+
+namespace wisteriafork {
+
+// Runs requests of this node and of other nodes on the local backend server, in the order of the serving queue.
+class ServingGateway
+{
+public:
+    explicit ServingGateway(RelayParts &parts);
+
+    // Queues or starts the request. The handler is called once, after this returned, unless the request is cancelled.
+    CallId serve(RelayRequest request, AttemptHandler handler);
+    // The sender has given up. A waiting request never starts; a running one is ended if it may be repeated, and else completes unheard.
+    void cancel(CallId id);
+    // Starts or refuses waiting requests whose time has come.
+    void poll();
+    // Updates the pressure. Call every 100 ms.
+    void tick();
+
+    bool isIdle() const
+    {
+        return m_calls.empty();
+    }
+
+    void stop();
+
+private:
+    struct Call
+    {
+        RelayRequest request;
+        AttemptHandler handler;
+        std::shared_ptr<ClientExchange> exchange;
+        TimePoint started;
+        bool running = false;
+    };
+
+    void start(CallId id);
+    void answered(CallId id, tl::expected<HttpResponse, ExchangeError> result);
+    AttemptOutcome evaluate(tl::expected<HttpResponse, ExchangeError> result) const;
+    void finish(CallId id, AttemptOutcome outcome);
+    void learnSlots(std::string_view load);
+    ServingReport reportFor(const std::string &route) const;
+
+    RelayParts &m_parts;
+    HttpClient m_client;
+    std::unordered_map<CallId, Call> m_calls;
+    CallId m_lastId = 0;
+};
+
+} // namespace wisteriafork
