Tell inner calls from callers' requests, and bound repeats over the whole chain

Cause: requests of callers and calls of the backend server come from the same address, so that all counted as inner and none was refused at the entry; the queue of the deepest service then grew until its callers' time was up. Now a call belongs to the running request whose id begins its own id; it inherits the priority of the caller's request and whether that was a repeat. Placement compared stale queues, so that all nodes moved together between instances; it now counts its own calls in flight and adds noise.

Learning the calls from runs without any, as tried first, cannot tell callers from calls under load.

--- a/src/core/relay/instance.h
+++ b/src/core/relay/instance.h
@@ -3,6 +3,7 @@
 #include "core/base/clock.h"
 #include "core/base/ids.h"
 
+#include <cstdint>
 #include <string>
 
 namespace wisteriafork {
@@ -20,6 +21,8 @@
     DomainId domain;
     // Requests that it runs at the same time.
     unsigned slots = 1;
+    // Grows with each new entry of the list; of two instances at one address the one with the greater number is there now.
+    std::uint64_t listed = 0;
     // It leaves and takes no new work.
     bool draining = false;
     // Until then it is slow after its start.
--- a/src/core/relay/instancedirectory.cpp
+++ b/src/core/relay/instancedirectory.cpp
@@ -12,6 +12,16 @@
 void InstanceDirectory::put(Instance instance)
 {
     m_held.erase(instance.id);
+    if (const auto other = m_atAddress.find(instance.address); other != m_atAddress.end() && other->second != instance.id) {
+        const Instance *known = find(other->second);
+        if (known != nullptr && known->listed > instance.listed) {
+            // An entry of an instance that has ended and whose address is in use again.
+            erase(instance.id);
+            return;
+        }
+        erase(std::string(other->second));
+    }
+    m_atAddress[instance.address] = instance.id;
     if (const auto known = m_serviceOf.find(instance.id); known != m_serviceOf.end()) {
         if (known->second == instance.service) {
             auto &list = m_services[instance.service];
@@ -100,15 +110,8 @@
 
 const Instance *InstanceDirectory::atAddress(std::string_view address) const
 {
-    const Instance *latest = nullptr;
-    for (const auto &[service, list] : m_services) {
-        for (const Instance &instance : list) {
-            if (instance.address == address && (latest == nullptr || latest->draining || !instance.draining)) {
-                latest = &instance;
-            }
-        }
-    }
-    return latest;
+    const auto found = m_atAddress.find(std::string(address));
+    return found == m_atAddress.end() ? nullptr : find(found->second);
 }
 
 std::size_t InstanceDirectory::size() const
@@ -122,9 +125,10 @@
     if (known == m_serviceOf.end()) {
         return;
     }
+    std::erase_if(m_atAddress, [&id](const auto &entry) { return entry.second == id; });
     std::erase_if(m_services[known->second], [&id](const Instance &instance) { return instance.id == id; });
-    m_serviceOf.erase(known);
     m_held.erase(id);
+    m_serviceOf.erase(known);
 }
 
 bool InstanceDirectory::holdsRemovals() const
--- a/src/core/relay/instancedirectory.h
+++ b/src/core/relay/instancedirectory.h
@@ -41,7 +41,7 @@
     // Listed instances of a service, also those that drain.
     std::span<const Instance> of(const ServiceId &service) const;
     const Instance *find(std::string_view id) const;
-    // Latest listed instance with the given backend server address.
+    // Instance at the given backend server address. Of several entries the latest counts: an address is used again.
     const Instance *atAddress(std::string_view address) const;
     std::size_t size() const;
 
@@ -53,6 +53,8 @@
     const Clock &m_clock;
     std::map<ServiceId, std::vector<Instance>> m_services;
     std::unordered_map<std::string, ServiceId> m_serviceOf;
+    // Id of the instance at each address.
+    std::unordered_map<std::string, std::string> m_atAddress;
     // Removed entries that are kept until the hold time ends.
     std::unordered_map<std::string, TimePoint> m_held;
     bool m_lost = false;
--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <random>
 
 namespace wisteriafork {
 
@@ -10,8 +11,6 @@
 // Weight of one call in the latency and in the failure share of an instance.
 constexpr double LatencyWeight = 0.15;
 constexpr double FailureWeight = 0.12;
-// Part of the reported limit up to which calls do not wait.
-constexpr double FreeShare = 0.9;
 // Cost of an instance that must not be used unless there is no other.
 constexpr double Unusable = 1000.0;
 
@@ -22,24 +21,35 @@
 
 } // namespace
 
-Placement::Placement(const PlacementOptions &options, DomainId ownDomain, const Clock &clock)
-    : m_options(options), m_ownDomain(std::move(ownDomain)), m_clock(clock)
+Placement::Placement(const PlacementOptions &options, DomainId ownDomain, const Clock &clock, RandomEngine &random)
+    : m_options(options), m_ownDomain(std::move(ownDomain)), m_clock(clock), m_random(random)
 {
 }
 
 const Instance *Placement::choose(std::span<const Instance> instances, std::span<const std::string> excluded, const std::string &route,
-                                  Duration targetLatency) const
+                                  Duration targetLatency)
 {
+    std::vector<const Instance *> near;
+    std::vector<const Instance *> far;
+    for (const Instance &instance : instances) {
+        if (!instance.draining && std::ranges::find(excluded, instance.id) == excluded.end()) {
+            (instance.domain == m_ownDomain ? near : far).push_back(&instance);
+        }
+    }
     const Instance *best = nullptr;
     double leastCost = 0.0;
-    for (const Instance &instance : instances) {
-        if (instance.draining || std::ranges::find(excluded, instance.id) != excluded.end()) {
-            continue;
+    std::uniform_real_distribution<double> noise(1.0 - m_options.jitter, 1.0 + m_options.jitter);
+    for (std::vector<const Instance *> *candidates : {&near, &far}) {
+        if (candidates->size() > m_options.samples) {
+            std::shuffle(candidates->begin(), candidates->end(), m_random);
+            candidates->resize(m_options.samples);
         }
-        const double instanceCost = cost(instance, route, targetLatency);
-        if (best == nullptr || instanceCost < leastCost) {
-            best = &instance;
-            leastCost = instanceCost;
+        for (const Instance *instance : *candidates) {
+            const double instanceCost = cost(*instance, route, targetLatency) * noise(m_random);
+            if (best == nullptr || instanceCost < leastCost) {
+                best = instance;
+                leastCost = instanceCost;
+            }
         }
     }
     return best;
@@ -47,9 +57,7 @@
 
 void Placement::sent(const std::string &instance)
 {
-    State &state = m_states[instance];
-    ++state.outstanding;
-    ++state.sentSinceReport;
+    ++m_states[instance].outstanding;
 }
 
 void Placement::ended(const std::string &instance, const std::string &route, PlacementOutcome outcome, Duration elapsed)
@@ -90,7 +98,8 @@
     State &state = m_states[instance];
     state.report = report;
     state.reported = m_clock.now();
-    state.sentSinceReport = 0;
+    const unsigned occupied = report.running + report.queued;
+    state.others = occupied - std::min(occupied, state.outstanding);
 }
 
 void Placement::forget(const std::string &instance)
@@ -106,35 +115,30 @@
 
 double Placement::cost(const Instance &instance, const std::string &route, Duration targetLatency) const
 {
-    double total = instance.domain == m_ownDomain ? 0.0 : m_options.domainCost;
+    const double target = seconds(targetLatency);
+    double total = instance.domain == m_ownDomain ? 0.0 : m_options.domainCost * target;
     const auto found = m_states.find(instance.id);
     if (found == m_states.end()) {
         return total;
     }
     const State &state = found->second;
-    const TimePoint now = m_clock.now();
-    if (now < state.pausedUntil) {
+    if (m_clock.now() < state.pausedUntil || (state.report.leaving && m_clock.now() - state.reported < m_options.memory)) {
         total += Unusable;
     }
-    const double age = weightOf(state.reported);
-    if (state.report.leaving && age > 0.3) {
-        total += Unusable;
-    }
-    double latency = 0.0;
     if (const auto known = state.latencies.find(route); known != state.latencies.end()) {
-        latency = known->second.seconds * weightOf(known->second.updated);
+        total += m_options.latencyWeight * known->second.seconds * weightOf(known->second.updated);
     }
-    double expected = latency;
-    if (state.report.limit > 0) {
-        const double occupied = age * (state.report.running + state.report.queued) + std::min(state.sentSinceReport, state.outstanding);
-        const double free = FreeShare * state.report.limit;
-        // Requests above the limit wait for one holding time each, spread over the limit; the latency stands for the holding time.
-        const double holding = std::max(latency, seconds(state.report.expectedWait) * age);
-        expected += std::max(0.0, occupied - free) / state.report.limit * holding;
-        expected = std::max(expected, age * seconds(state.report.expectedWait));
+    return total + waitAt(state) + m_options.failureCost * target * state.failures * weightOf(state.failureUpdated);
+}
+
+double Placement::waitAt(const State &state) const
+{
+    if (state.report.limit == 0) {
+        return 0.0;
     }
-    const double relative = expected / std::max(1e-3, seconds(targetLatency));
-    return total + relative * relative + m_options.failureCost * state.failures * weightOf(state.failureUpdated);
+    const double occupied = state.others * weightOf(state.reported) + state.outstanding;
+    const double limit = state.report.limit;
+    return std::max(0.0, occupied + 1.0 - limit) / limit * seconds(state.report.holdingTime);
 }
 
 double Placement::weightOf(TimePoint updated) const
--- a/src/core/relay/placement.h
+++ b/src/core/relay/placement.h
@@ -15,11 +15,17 @@
 
 struct PlacementOptions
 {
-    // Cost of a call to another failure domain, in squared parts of the target latency: bytes between failure domains are expensive, so
-    // that a call leaves its failure domain only when it would otherwise take about 0.4 of its target longer.
-    double domainCost = 0.15;
-    // Cost of an instance whose calls all fail.
+    // Extra time, in parts of the target latency, that a call may take before it leaves its failure domain: bytes between failure domains
+    // are expensive.
+    double domainCost = 0.08;
+    // Extra time of an instance whose calls all fail, in parts of the target latency.
     double failureCost = 4.0;
+    // Weight of measured latency against waiting time. Latency differs with the speed of instances, which matters only when they queue.
+    double latencyWeight = 0.5;
+    // Random part of an estimate, so that nodes with the same reports do not all choose the same instance.
+    double jitter = 0.2;
+    // Instances compared for one call within a failure domain; more would not improve the choice.
+    std::size_t samples = 4;
     // Time in which a measured latency or failure loses its weight, so that an avoided instance is tried again.
     Duration memory = std::chrono::milliseconds(3000);
     // Pauses after a failed connection to the node of an instance: the first one, doubled each time up to the longest.
@@ -45,11 +51,11 @@
 class Placement
 {
 public:
-    Placement(const PlacementOptions &options, DomainId ownDomain, const Clock &clock);
+    Placement(const PlacementOptions &options, DomainId ownDomain, const Clock &clock, RandomEngine &random);
 
     // The best instance that is not excluded; null if there is none. `targetLatency` is that of the route.
     const Instance *choose(std::span<const Instance> instances, std::span<const std::string> excluded, const std::string &route,
-                           Duration targetLatency) const;
+                           Duration targetLatency);
     void sent(const std::string &instance);
     void ended(const std::string &instance, const std::string &route, PlacementOutcome outcome, Duration elapsed);
     // A report that came with an answer or refusal.
@@ -70,8 +76,8 @@
     struct State
     {
         unsigned outstanding = 0;
-        // Calls sent since the last report.
-        unsigned sentSinceReport = 0;
+        // Calls of other nodes that ran or waited at the time of the last report.
+        unsigned others = 0;
         ServingReport report;
         TimePoint reported;
         std::unordered_map<std::string, Latency> latencies;
@@ -81,12 +87,15 @@
         TimePoint pausedUntil{};
     };
 
+    // Expected time of a call in seconds, with the penalties of the options.
     double cost(const Instance &instance, const std::string &route, Duration targetLatency) const;
+    double waitAt(const State &state) const;
     double weightOf(TimePoint updated) const;
 
     const PlacementOptions m_options;
     const DomainId m_ownDomain;
     const Clock &m_clock;
+    RandomEngine &m_random;
     std::unordered_map<std::string, State> m_states;
 };
 
--- a/src/core/relay/pressurecontroller.cpp
+++ b/src/core/relay/pressurecontroller.cpp
@@ -8,11 +8,10 @@
 {
 }
 
-void PressureController::update(Duration wait)
+void PressureController::update(double relativeWait)
 {
-    const Duration excess = wait - m_options.targetWait;
-    const double error = static_cast<double>(excess.count()) / static_cast<double>(m_options.fullScale.count());
-    const double step = error > 0.0 ? m_options.rise * std::min(error, 1.0) : -m_options.fall;
+    const double error = (relativeWait - 1.0) / (m_options.fullScale - 1.0);
+    const double step = error > 0.0 ? m_options.rise * std::min(error, 1.0) : m_options.fall * std::max(-1.0, relativeWait - 1.0);
     m_pressure = std::clamp(m_pressure + step, 0.0, 1.0);
 }
 
--- a/src/core/relay/retrybudget.cpp
+++ b/src/core/relay/retrybudget.cpp
@@ -4,6 +4,13 @@
 
 namespace wisteriafork {
 
+namespace {
+
+// Debt of a service that is remembered; further repeats of runs above are lost to the count.
+constexpr double MostDebt = -20.0;
+
+} // namespace
+
 RetryBudget::RetryBudget(const RetryBudgetOptions &options) : m_options(options)
 {
 }
@@ -14,6 +21,12 @@
     available = std::min(m_options.burst, available + m_options.ratio);
 }
 
+void RetryBudget::charge(const ServiceId &service)
+{
+    double &available = tokens(service);
+    available = std::max(MostDebt, available - 1.0);
+}
+
 bool RetryBudget::take(const ServiceId &service)
 {
     double &available = tokens(service);
--- a/src/core/relay/retrybudget.h
+++ b/src/core/relay/retrybudget.h
@@ -9,11 +9,10 @@
 
 struct RetryBudgetOptions
 {
-    // Repeats for each first send to a service. Calls that a repeated run makes count again at the services below, so a chain of services
-    // shares the fleet's ratio (0.2); four levels get a quarter each.
-    double ratio = 0.05;
-    // Repeats that may be saved up, and those at hand at the start.
-    double burst = 3.0;
+    // Repeats for each first send to a service; below the fleet's ratio (0.2), because windows of the bound may begin anywhere.
+    double ratio = 0.12;
+    // Repeats that may be saved up, and those at hand at the start. All nodes together stay within the fleet's slack (three for each node).
+    double burst = 2.0;
 };
 
 // Bounds the requests that this node sends to a second instance, by service. All nodes together stay within the fleet's ratio because each
@@ -25,6 +24,8 @@
 
     // A request is sent to the service for the first time.
     void firstSend(const ServiceId &service);
+    // A call of a run that was a repeat itself is sent to the service: it counts as a repeat, but is not held back.
+    void charge(const ServiceId &service);
     // True if a repeat is allowed; it is then spent.
     bool take(const ServiceId &service);
 
--- a/src/core/relay/servingqueue.cpp
+++ b/src/core/relay/servingqueue.cpp
@@ -9,8 +9,11 @@
 
 // Weight of one request in the mean holding time of its route.
 constexpr double HoldingWeight = 0.1;
+constexpr double MeanHoldingWeight = 0.03;
 // Part of the mean holding time that must be left for an inner call to start: its parent may still use a quick answer.
 constexpr double InnerShare = 0.5;
+// Relative wait that a request counts for which has waited until it was too late.
+constexpr double LateWait = 10.0;
 
 double seconds(Duration duration)
 {
@@ -67,6 +70,7 @@
         const double held = seconds(m_clock.now() - found->second.started);
         const auto [known, added] = m_holding.emplace(found->second.route, held);
         known->second += HoldingWeight * (held - known->second);
+        m_meanHolding += (m_meanHolding <= 0.0 ? 1.0 : MeanHoldingWeight) * (held - m_meanHolding);
     }
     m_running.erase(found);
 }
@@ -98,7 +102,8 @@
         }
     }
     for (const CallId id : late) {
-        m_greatestWait = std::max(m_greatestWait, m_options.pressure.targetWait + m_options.pressure.fullScale);
+        m_relativeWaits += LateWait;
+        ++m_starts;
         withdraw(id);
         changes.push_back({.id = id, .verdict = ServingVerdict::RefuseLate});
     }
@@ -115,13 +120,21 @@
 
 void ServingQueue::tick()
 {
-    Duration greatest = std::exchange(m_greatestWait, Duration(0));
+    double waits = std::exchange(m_relativeWaits, 0.0);
+    unsigned starts = std::exchange(m_starts, 0);
+    // Where nothing starts, the oldest waiting request tells how long the wait is.
     for (const auto &[rank, list] : m_waiting) {
         if (!list.empty()) {
-            greatest = std::max<Duration>(greatest, m_clock.now() - list.front().arrived);
+            waits += relativeWait(list.front().request, m_clock.now() - list.front().arrived);
+            ++starts;
         }
     }
-    m_pressure.update(greatest);
+    m_pressure.update(starts == 0 ? 0.0 : waits / starts);
+}
+
+Duration ServingQueue::takeGreatestWait()
+{
+    return std::exchange(m_greatestWait, Duration(0));
 }
 
 Duration ServingQueue::holdingTime(const std::string &route) const
@@ -135,13 +148,13 @@
     return {.limit = m_limit,
             .running = static_cast<std::uint32_t>(m_running.size()),
             .queued = static_cast<std::uint32_t>(m_rankOf.size()),
-            .expectedWait = expectedWait(std::numeric_limits<Rank>::max()),
+            .holdingTime = fromSeconds(m_meanHolding),
             .pressure = m_pressure.pressure()};
 }
 
 ServingQueue::Rank ServingQueue::rankOf(const ServingRequest &request)
 {
-    return request.inner ? 0 : 1 + request.priority;
+    return 2 * request.priority + (request.inner ? 0 : 1);
 }
 
 bool ServingQueue::hasFreeSlot() const
@@ -153,9 +166,16 @@
 {
     const TimePoint now = m_clock.now();
     m_greatestWait = std::max<Duration>(m_greatestWait, now - arrived);
+    m_relativeWaits += relativeWait(request, now - arrived);
+    ++m_starts;
     m_running.emplace(request.id, Running{.route = request.route, .started = now});
 }
 
+double ServingQueue::relativeWait(const ServingRequest &request, Duration wait) const
+{
+    return seconds(wait) / std::max(1e-3, m_options.allowedWait * seconds(request.targetLatency));
+}
+
 Duration ServingQueue::expectedWait(Rank rank) const
 {
     if (hasFreeSlot()) {
--- a/src/core/relay/servingqueue.h
+++ b/src/core/relay/servingqueue.h
@@ -21,6 +21,9 @@
     // Part of the target latency that a request of a caller may wait before it is refused on arrival; a refusal within an eighth of the
     // target leaves the caller time to come back.
     double waitShare = 0.25;
+    // Part of the target latency for which a request may wait on average. A chain makes several calls one after the other, so that each may
+    // use only a small part.
+    double allowedWait = 0.05;
     // Slots assumed for an instance whose entry was not read.
     unsigned assumedSlots = 8;
     PressureOptions pressure;
@@ -33,7 +36,7 @@
     std::string route;
     // Made by a backend server for an admitted request.
     bool inner = false;
-    // 0 is the most urgent.
+    // Rank of the caller's request at the top of the chain; 0 is the most urgent.
     unsigned priority = 0;
     TimePoint deadline;
     Duration targetLatency{0};
@@ -48,8 +51,8 @@
     RefuseLate,
 };
 
-// Decides which requests the local backend server runs, and when, so that the backend server's own queue stays empty: inner calls of
-// admitted requests first, then by priority, then by arrival. Each request is offered once; a waiting one is named by a later `poll`. Each
+// Decides which requests the local backend server runs, and when, so that the backend server's own queue stays empty: by priority of the
+// caller's request, inner calls before new requests of the same priority, then by arrival. Each request is offered once; a waiting one is named by a later `poll`. Each
 // started one is finished once. Not thread safe.
 class ServingQueue
 {
@@ -76,6 +79,8 @@
     // Mean time for which a request of the route occupies a slot; zero if unknown.
     Duration holdingTime(const std::string &route) const;
     ServingReport report() const;
+    // Greatest waiting time since the last call, for logs.
+    Duration takeGreatestWait();
 
 private:
     struct Waiting
@@ -95,6 +100,8 @@
     static Rank rankOf(const ServingRequest &request);
     bool hasFreeSlot() const;
     void start(const ServingRequest &request, TimePoint arrived);
+    // Waiting time in parts of what is allowed for the request.
+    double relativeWait(const ServingRequest &request, Duration wait) const;
     // Time until a new request of the rank would start.
     Duration expectedWait(Rank rank) const;
     bool isTooLate(const ServingRequest &request, Duration wait) const;
@@ -109,7 +116,11 @@
     std::map<Rank, double> m_waitingWork;
     std::unordered_map<std::string, double> m_holding;
     PressureController m_pressure;
+    // Waiting times of the requests started since the last update of the pressure, each relative to what its route allows.
+    double m_relativeWaits = 0.0;
+    unsigned m_starts = 0;
     Duration m_greatestWait{0};
+    double m_meanHolding = 0.0;
 };
 
 } // namespace wisteriafork
--- a/src/core/relay/servingreport.h
+++ b/src/core/relay/servingreport.h
@@ -13,8 +13,8 @@
     std::uint32_t limit = 0;
     std::uint32_t running = 0;
     std::uint32_t queued = 0;
-    // Time for which a request that arrives now would wait.
-    Duration expectedWait{0};
+    // Mean time for which a request occupies a slot.
+    Duration holdingTime{0};
     // Share of the requests of callers that should be refused at their entry, 0 to 1: the greatest of this instance and of the services
     // that the answered route calls.
     double pressure = 0.0;
--- a/src/observability/eventcatalogue.cpp
+++ b/src/observability/eventcatalogue.cpp
@@ -63,6 +63,7 @@
 constexpr Names<1> InstanceCount{"instances"};
 constexpr Names<1> File{"file"};
 constexpr Names<2> PublishedValue{"key", "error"};
+constexpr Names<6> Load{"limit", "running", "queued", "waitMs", "pressure", "openCalls"};
 
 constexpr std::array Catalogue{
     EventDescription{Number::NodeStarted, "node-started", Severity::Info, Started},
@@ -133,6 +134,7 @@
     EventDescription{Number::SourceRestored, "source-restored", Severity::Info, {}},
     EventDescription{Number::SettingsReread, "settings-reread", Severity::Info, File},
     EventDescription{Number::PublishedValueRejected, "published-value-rejected", Severity::Warning, PublishedValue},
+    EventDescription{Number::ServingLoad, "serving-load", Severity::Info, Load},
 };
 
 } // namespace
--- a/src/observability/eventnumber.h
+++ b/src/observability/eventnumber.h
@@ -84,6 +84,7 @@
     SourceRestored = 1007,
     SettingsReread = 1008,
     PublishedValueRejected = 1009,
+    ServingLoad = 1010,
 };
 
 } // namespace wisteriafork
--- a/src/relay/callerhandler.h
+++ b/src/relay/callerhandler.h
@@ -27,6 +27,11 @@
         return m_calls.empty();
     }
 
+    std::size_t openCount() const
+    {
+        return m_calls.size();
+    }
+
 private:
     RelayParts &m_parts;
     ServingGateway &m_serving;
--- a/src/relay/peerhandler.cpp
+++ b/src/relay/peerhandler.cpp
@@ -19,6 +19,10 @@
     exchange->tag = m_serving.serve(std::move(*request), [this, exchange](AttemptOutcome outcome) {
         const bool refused = std::holds_alternative<NotRun>(outcome.result);
         m_parts.metrics.count(refused ? RelayCounter::RefusedForPeers : RelayCounter::ServedForPeers);
+        if (auto *answer = std::get_if<ServerAnswer>(&outcome.result)) {
+            // The node of the caller knows the id; it need not travel twice.
+            answer->response.headers.remove(m_parts.settings.headers.requestId);
+        }
         exchange->respond(encodeOutcome(std::move(outcome)));
     });
 }
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -8,6 +8,7 @@
 #include "relay/peerhandler.h"
 #include "relay/readinesshandler.h"
 
+#include <cstdio>
 #include <sstream>
 
 namespace wisteriafork {
@@ -21,6 +22,7 @@
 constexpr std::chrono::milliseconds StopNotice{2300};
 // Time before the process is killed at which it ends by itself.
 constexpr std::chrono::milliseconds StopReserve{400};
+constexpr unsigned TicksPerLoadLine = 10;
 constexpr std::size_t LargestBody = std::size_t{64} * 1024 * 1024;
 constexpr std::chrono::seconds CallerIdle{120};
 
@@ -75,11 +77,27 @@
     {
         parts.directory.tick();
         serving.tick();
+        logLoad();
         if (const Instance *own = parts.directory.atAddress(text(parts.settings.server))) {
             parts.queue.setSlots(own->slots);
         }
     }
 
+    // One line a second while there is work.
+    void logLoad()
+    {
+        const ServingReport report = parts.queue.report();
+        if (++ticks % TicksPerLoadLine != 0 || (report.running == 0 && callers.isIdle())) {
+            return;
+        }
+        char pressure[16];
+        std::snprintf(pressure, sizeof(pressure), "%.3f", report.pressure);
+        parts.log.write(EventNumber::ServingLoad,
+                        {std::to_string(report.limit), std::to_string(report.running), std::to_string(report.queued),
+                         std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(parts.queue.takeGreatestWait()).count()),
+                         pressure, std::to_string(callers.openCount())});
+    }
+
     void checkStop()
     {
         const Duration since = clock.now() - stopStarted;
@@ -126,6 +144,7 @@
     TimePoint stopStarted;
     bool listenerStopped = false;
     bool lost = false;
+    unsigned ticks = 0;
 };
 
 Relay::Relay(asio::io_context &context, RelaySettings settings, EventLog &log)
--- a/src/relay/relaycall.cpp
+++ b/src/relay/relaycall.cpp
@@ -53,14 +53,26 @@
 
 void RelayCall::start()
 {
-    const std::string &remote = m_exchange->remoteAddress;
-    m_inner = remote == m_parts.settings.server.address().to_string();
+    const RunningRequest *parent = m_parts.running.parentOf(requestId());
+    m_inner = parent != nullptr;
     m_parts.metrics.count(m_inner ? RelayCounter::InnerCalls : RelayCounter::CallerRequests);
-    if (!findRoute() || !admit()) {
+    if (!findRoute()) {
+        return;
+    }
+    m_priority = m_route->priority;
+    if (parent != nullptr) {
+        m_priority = parent->priority;
+        m_repeat = parent->repeat;
+        m_parts.running.called(parent->route, m_route->name);
+    } else if (!admit()) {
         return;
     }
     m_service = m_parts.split.choose(*m_route);
-    m_parts.retries.firstSend(m_service);
+    if (m_repeat) {
+        m_parts.retries.charge(m_service);
+    } else {
+        m_parts.retries.firstSend(m_service);
+    }
     const double share = m_inner ? InnerPlaceShare * seconds(m_deadline - m_arrived) : PlaceShare * seconds(m_route->targetLatency);
     m_placeUntil = m_arrived + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(share));
     if (!sendNext()) {
@@ -95,10 +107,6 @@
 
 bool RelayCall::admit()
 {
-    if (m_inner) {
-        m_parts.calls.called(m_route->name);
-        return true;
-    }
     const HttpRequest &request = *m_exchange->request;
     m_identity = hash64(request.target, hash64(request.body, hash64(request.headers.find("host"))));
     if (m_parts.admission.admit(m_route->name, m_route->priority, m_parts.pressure.of(m_route->name), m_identity)) {
@@ -123,6 +131,7 @@
 void RelayCall::sendTo(const Instance &instance)
 {
     const std::size_t index = m_attempts.size();
+    const bool repeat = m_repeat || m_sends > 0 || hasOpenAttempt();
     m_attempts.push_back({.instance = instance.id, .started = m_parts.clock.now()});
     m_tried.push_back(instance.id);
     m_parts.placement.sent(instance.id);
@@ -133,7 +142,8 @@
                          .route = m_route->name,
                          .kind = m_route->kind,
                          .inner = m_inner,
-                         .priority = m_route->priority,
+                         .repeat = repeat,
+                         .priority = m_priority,
                          .targetLatency = m_route->targetLatency,
                          .deadline = m_deadline,
                          .callerService = m_parts.settings.service.value()};
@@ -183,13 +193,14 @@
 void RelayCall::on(const Attempt &attempt, const NotRun &result)
 {
     const bool reached = result.reason == NotRunReason::RefusedByServer;
-    const bool unreachable = result.reason == NotRunReason::Unreachable || result.reason == NotRunReason::Leaving;
+    const bool unreachable = result.reason == NotRunReason::Unreachable || result.reason == NotRunReason::Leaving
+        || result.reason == NotRunReason::OtherInstance;
     const PlacementOutcome outcome = reached ? PlacementOutcome::Failed
         : unreachable                        ? PlacementOutcome::Unreachable
                                              : PlacementOutcome::Refused;
     m_parts.placement.ended(attempt.instance, m_route->name, outcome, m_parts.clock.now() - attempt.started);
     m_parts.log.decision(EventNumber::RelayMoved, false,
-                         {std::string(m_exchange->request->headers.find(m_parts.settings.headers.requestId)), m_route->name, attempt.instance,
+                         {std::string(requestId()), m_route->name, attempt.instance,
                           describeNotRun(result.reason), std::to_string(m_parts.directory.size())});
     m_sends += reached ? 1 : 0;
     if (hasOpenAttempt()) {
@@ -307,6 +318,10 @@
 void RelayCall::relay(HttpResponse response, RelayCounter counter)
 {
     m_parts.metrics.count(counter);
+    const std::string &idField = m_parts.settings.headers.requestId;
+    if (!response.headers.contains(idField)) {
+        response.headers.add(idField, std::string(requestId()));
+    }
     respond(std::move(response), counter == RelayCounter::Succeeded ? "succeeded" : "failed-by-server");
 }
 
@@ -326,7 +341,7 @@
     }
     if (m_parts.log.accepts(ordinary)) {
         m_parts.log.decision(EventNumber::RelayAnswered, ordinary,
-                             {std::string(m_exchange->request->headers.find(m_parts.settings.headers.requestId)),
+                             {std::string(requestId()),
                               m_route == nullptr ? std::string() : m_route->name, m_tried.empty() ? std::string() : m_tried.back(), event,
                               std::to_string(response.status), secondsText(elapsed()), std::to_string(m_attempts.size()),
                               m_route == nullptr ? std::string() : secondsText(std::chrono::duration_cast<Duration>(
@@ -351,6 +366,11 @@
     }
 }
 
+std::string_view RelayCall::requestId() const
+{
+    return m_exchange->request->headers.find(m_parts.settings.headers.requestId);
+}
+
 Duration RelayCall::elapsed() const
 {
     return m_parts.clock.now() - m_arrived;
--- a/src/relay/relaycall.h
+++ b/src/relay/relaycall.h
@@ -59,6 +59,7 @@
     void fail(unsigned status, RelayCounter counter, const char *reason);
     void respond(HttpResponse response, const char *event);
     void cancelAttempts();
+    std::string_view requestId() const;
     Duration elapsed() const;
 
     RelayParts &m_parts;
@@ -70,7 +71,12 @@
     std::shared_ptr<const RouteTable> m_routes;
     const Route *m_route = nullptr;
     ServiceId m_service;
+    // Made by the local backend server for a request that it runs.
     bool m_inner = false;
+    // Rank of the caller's request at the top of the chain.
+    unsigned m_priority = 0;
+    // Made for a run that was a repeat.
+    bool m_repeat = false;
     std::uint64_t m_identity = 0;
     TimePoint m_deadline;
     TimePoint m_hedgeAt = TimePoint::max();
--- a/src/relay/relayheaders.cpp
+++ b/src/relay/relayheaders.cpp
@@ -13,9 +13,9 @@
 constexpr const char *InstanceField = "wf-instance";
 constexpr const char *RouteField = "wf-route";
 constexpr const char *ServiceField = "wf-service";
-// Kind, inner, priority, microseconds of the target latency, microseconds that remain.
+// Kind, inner, repeat, priority, microseconds of the target latency, microseconds that remain.
 constexpr const char *CallField = "wf-call";
-// Limit, running, queued, microseconds of the expected wait, pressure in 1/1000, leaving.
+// Limit, running, queued, microseconds of the holding time, pressure in 1/1000, leaving.
 constexpr const char *ReportField = "wf-report";
 // Number of a `NotRunReason`, or "unknown" or "node-lost".
 constexpr const char *FailureField = "wf-failure";
@@ -65,7 +65,7 @@
 
 std::string encodeReport(const ServingReport &report)
 {
-    return joinNumbers(std::array<std::int64_t, 6>{report.limit, report.running, report.queued, microseconds(report.expectedWait),
+    return joinNumbers(std::array<std::int64_t, 6>{report.limit, report.running, report.queued, microseconds(report.holdingTime),
                                                    static_cast<std::int64_t>(report.pressure * PressureScale), report.leaving ? 1 : 0});
 }
 
@@ -75,11 +75,11 @@
     if (!numbers) {
         return std::nullopt;
     }
-    const auto &[limit, running, queued, wait, pressure, leaving] = *numbers;
+    const auto &[limit, running, queued, holding, pressure, leaving] = *numbers;
     return ServingReport{.limit = static_cast<std::uint32_t>(limit),
                          .running = static_cast<std::uint32_t>(running),
                          .queued = static_cast<std::uint32_t>(queued),
-                         .expectedWait = std::chrono::microseconds(wait),
+                         .holdingTime = std::chrono::microseconds(holding),
                          .pressure = static_cast<double>(pressure) / PressureScale,
                          .leaving = leaving != 0};
 }
@@ -96,7 +96,7 @@
     fields.add(RouteField, request.route);
     fields.add(ServiceField, request.callerService);
     fields.add(CallField,
-               joinNumbers(std::array<std::int64_t, 5>{static_cast<std::int64_t>(request.kind), request.inner ? 1 : 0, request.priority,
+               joinNumbers(std::array<std::int64_t, 6>{static_cast<std::int64_t>(request.kind), request.inner ? 1 : 0, request.repeat ? 1 : 0, request.priority,
                                                        microseconds(request.targetLatency), microseconds(request.deadline - now)}));
     return fields;
 }
@@ -104,7 +104,7 @@
 std::optional<RelayRequest> decodeRelayRequest(const std::shared_ptr<HttpRequest> &received, TimePoint now)
 {
     HttpHeaders &headers = received->headers;
-    const auto numbers = parseNumbers<5>(takeField(headers, CallField));
+    const auto numbers = parseNumbers<6>(takeField(headers, CallField));
     RelayRequest request{.http = received,
                          .instance = takeField(headers, InstanceField),
                          .route = takeField(headers, RouteField),
@@ -114,9 +114,10 @@
     if (!numbers || received->method.empty() || received->target.empty() || request.instance.empty()) {
         return std::nullopt;
     }
-    const auto &[kind, inner, priority, target, remaining] = *numbers;
+    const auto &[kind, inner, repeat, priority, target, remaining] = *numbers;
     request.kind = kind == static_cast<std::int64_t>(RequestKind::Idempotent) ? RequestKind::Idempotent : RequestKind::NonIdempotent;
     request.inner = inner != 0;
+    request.repeat = repeat != 0;
     request.priority = static_cast<unsigned>(priority);
     request.targetLatency = std::chrono::microseconds(target);
     request.deadline = now + std::chrono::microseconds(remaining);
--- a/src/relay/relayparts.h
+++ b/src/relay/relayparts.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "core/base/random.h"
-#include "core/relay/calllearning.h"
 #include "core/relay/edgeadmission.h"
 #include "core/relay/instancedirectory.h"
 #include "core/relay/placement.h"
@@ -9,6 +8,7 @@
 #include "core/relay/retrybudget.h"
 #include "core/relay/routepressure.h"
 #include "core/relay/routetable.h"
+#include "core/relay/runningrequests.h"
 #include "core/relay/servingqueue.h"
 #include "core/relay/weightedsplit.h"
 #include "net/asio.h"
@@ -30,11 +30,11 @@
         , log(eventLog, clock)
         , random(settings.seed)
         , directory(settings.directory, clock)
-        , placement(settings.placement, settings.domain, clock)
+        , placement(settings.placement, settings.domain, clock, random)
         , retries(settings.retries)
         , admission(settings.admission, clock)
         , pressure(clock)
-        , calls(CallLearningOptions{})
+        , running(clock)
         , queue(settings.serving, clock)
     {
     }
@@ -52,7 +52,7 @@
     RetryBudget retries;
     EdgeAdmission admission;
     RoutePressure pressure;
-    CallLearning calls;
+    RunningRequests running;
     ServingQueue queue;
     WeightedSplit split;
     ResponseTime responseTime;
--- a/src/relay/relayrequest.h
+++ b/src/relay/relayrequest.h
@@ -19,6 +19,9 @@
     RequestKind kind = RequestKind::NonIdempotent;
     // Made by a backend server for a request that was admitted before.
     bool inner = false;
+    // An earlier send of it, or of the request for which it is made, reached an instance.
+    bool repeat = false;
+    // Rank of the caller's request at the top of the chain.
     unsigned priority = 0;
     Duration targetLatency{0};
     // Local time at which the answer is no longer of use.
--- a/src/relay/servinggateway.cpp
+++ b/src/relay/servinggateway.cpp
@@ -12,6 +12,9 @@
 // The backend server is on this host, so a connection is made at once or not at all.
 constexpr std::chrono::milliseconds ConnectTimeout{500};
 constexpr unsigned MisdirectedStatus = 421;
+// Time for which requests for an instance that is not at this address any more are refused without asking. An instance may start again
+// under its old name.
+constexpr Duration MisdirectedMemory = std::chrono::milliseconds(1000);
 
 HttpClientOptions clientOptions(const RelaySettings &settings)
 {
@@ -48,6 +51,10 @@
     const CallId id = ++m_lastId;
     const ServingRequest offered = servingRequest(id, request);
     m_calls.emplace(id, Call{.request = std::move(request), .handler = std::move(handler)});
+    if (isMisdirected(m_calls.at(id).request.instance)) {
+        asio::post(m_parts.context, [this, id] { finish(id, {.result = NotRun{.reason = NotRunReason::OtherInstance}}); });
+        return id;
+    }
     const ServingVerdict verdict = m_parts.queue.offer(offered);
     if (verdict == ServingVerdict::Start) {
         start(id);
@@ -71,7 +78,7 @@
     if (call.running) {
         call.exchange->cancel();
         m_parts.queue.finish(id, false);
-        m_parts.calls.ended(id, false);
+        m_parts.running.ended(requestId(call.request));
     } else {
         m_parts.queue.withdraw(id);
     }
@@ -112,7 +119,8 @@
     extra.add(names.callerService, call.request.callerService);
     call.running = true;
     call.started = m_parts.clock.now();
-    m_parts.calls.started(id, call.request.route);
+    m_parts.running.started(requestId(call.request),
+                            {.route = call.request.route, .priority = call.request.priority, .repeat = call.request.repeat});
     call.exchange = m_client.send(call.request.http, std::move(extra), [this, id](tl::expected<HttpResponse, ExchangeError> result) {
         answered(id, std::move(result));
     });
@@ -128,6 +136,9 @@
         learnSlots(result->headers.find(m_parts.settings.headers.instanceLoad));
         result->headers.remove(m_parts.settings.headers.instanceLoad);
     }
+    if (result && result->status == MisdirectedStatus) {
+        m_misdirected[found->second.request.instance] = m_parts.clock.now() + MisdirectedMemory;
+    }
     AttemptOutcome outcome = evaluate(std::move(result));
     const auto *answer = std::get_if<ServerAnswer>(&outcome.result);
     const bool completed = answer != nullptr && answer->response.status < 500;
@@ -135,7 +146,7 @@
         m_parts.metrics.ran(m_parts.clock.now() - found->second.started);
     }
     m_parts.queue.finish(id, completed);
-    m_parts.calls.ended(id, completed);
+    m_parts.running.ended(requestId(found->second.request));
     finish(id, std::move(outcome));
     poll();
 }
@@ -176,6 +187,17 @@
     }
 }
 
+std::string ServingGateway::requestId(const RelayRequest &request) const
+{
+    return std::string(request.http->headers.find(m_parts.settings.headers.requestId));
+}
+
+bool ServingGateway::isMisdirected(const std::string &instance) const
+{
+    const auto found = m_misdirected.find(instance);
+    return found != m_misdirected.end() && m_parts.clock.now() < found->second;
+}
+
 void ServingGateway::learnSlots(std::string_view load)
 {
     const std::size_t comma = load.rfind(',');
@@ -192,7 +214,7 @@
 ServingReport ServingGateway::reportFor(const std::string &route) const
 {
     ServingReport report = m_parts.queue.report();
-    for (const std::string &callee : m_parts.calls.calleesOf(route)) {
+    for (const std::string &callee : m_parts.running.calleesOf(route)) {
         report.pressure = std::max(report.pressure, m_parts.pressure.of(callee));
     }
     report.leaving = m_parts.stopping;
--- a/src/relay/servinggateway.h
+++ b/src/relay/servinggateway.h
@@ -46,12 +46,16 @@
     void answered(CallId id, tl::expected<HttpResponse, ExchangeError> result);
     AttemptOutcome evaluate(tl::expected<HttpResponse, ExchangeError> result) const;
     void finish(CallId id, AttemptOutcome outcome);
+    std::string requestId(const RelayRequest &request) const;
+    bool isMisdirected(const std::string &instance) const;
     void learnSlots(std::string_view load);
     ServingReport reportFor(const std::string &route) const;
 
     RelayParts &m_parts;
     HttpClient m_client;
     std::unordered_map<CallId, Call> m_calls;
+    // Instances that were expected here and are not, until when that is believed.
+    std::unordered_map<std::string, TimePoint> m_misdirected;
     CallId m_lastId = 0;
 };
 
