--- a/src/core/relay/servingreport.h
+++ b/src/core/relay/servingreport.h
@@ -18,6 +18,8 @@
     // Share of the requests of callers that should be refused at their entry, 0 to 1: the greatest of this instance and of the services
     // that the answered route calls.
     double pressure = 0.0;
+    // Version of the configuration in force at the node.
+    std::uint64_t version = 0;
     // The node stops and takes no further calls of other nodes.
     bool leaving = false;
 };
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -20,6 +20,8 @@
     // Unused connections are closed after this time. It should be shorter than the server's own keep-alive time, because a request that
     // meets a closing connection has an unknown outcome.
     std::chrono::milliseconds idleTimeout{4000};
+    // Probe a silent connection after this time, and give it up after a few unanswered probes; zero leaves it to the system's defaults.
+    std::chrono::seconds probeSilence{0};
     // Accept answers whose body ends with the connection, if it is closed in order.
     bool allowUndelimited = false;
     // Header field that the server repeats from the request, in lower case. An answer with another value belongs to an earlier request and
--- a/src/net/httpclientconnection.cpp
+++ b/src/net/httpclientconnection.cpp
@@ -1,6 +1,7 @@
 #include "net/httpclientconnection.h"
 
 #include "net/http1text.h"
+#include "net/keepaliveprobes.h"
 
 #include <algorithm>
 #include <array>
@@ -121,6 +122,9 @@
     ErrorCode ignored;
     m_socket.set_option(Tcp::no_delay(true), ignored);
     m_socket.non_blocking(true, ignored);
+    if (m_options.probeSilence.count() > 0) {
+        probeSilentConnection(m_socket, m_options.probeSilence);
+    }
     sendRequest();
     waitForInput();
 }
--- a/src/observability/eventcatalogue.cpp
+++ b/src/observability/eventcatalogue.cpp
@@ -63,6 +63,7 @@
 constexpr Names<1> InstanceCount{"instances"};
 constexpr Names<1> File{"file"};
 constexpr Names<2> PublishedValue{"key", "error"};
+constexpr Names<2> PeerState{"address", "items"};
 constexpr Names<6> Load{"limit", "running", "queued", "waitMs", "pressure", "openCalls"};
 
 constexpr std::array Catalogue{
@@ -135,6 +136,7 @@
     EventDescription{Number::SettingsReread, "settings-reread", Severity::Info, File},
     EventDescription{Number::PublishedValueRejected, "published-value-rejected", Severity::Warning, PublishedValue},
     EventDescription{Number::ServingLoad, "serving-load", Severity::Info, Load},
+    EventDescription{Number::PeerStateRead, "peer-state-read", Severity::Info, PeerState},
 };
 
 } // namespace
--- a/src/observability/eventnumber.h
+++ b/src/observability/eventnumber.h
@@ -85,6 +85,7 @@
     SettingsReread = 1008,
     PublishedValueRejected = 1009,
     ServingLoad = 1010,
+    PeerStateRead = 1011,
 };
 
 } // namespace wisteriafork
--- a/src/relay/peergateway.cpp
+++ b/src/relay/peergateway.cpp
@@ -48,6 +48,17 @@
     return m_pool.send(address, request.http, encodeRelayRequest(request, m_parts.clock.now()), std::move(finished));
 }
 
+void PeerGateway::fetchSnapshot(const std::string &address, std::function<void(std::optional<std::string>)> handler)
+{
+    HttpHeaders fields;
+    fields.add(":path", SnapshotPath);
+    m_pool.send(address, std::make_shared<HttpRequest>(), std::move(fields),
+                [handler = std::move(handler)](tl::expected<HttpResponse, ExchangeError> result) {
+                    const bool answered = result && result->status == 200 && !result->body.empty();
+                    handler(answered ? std::optional(std::move(result->body)) : std::nullopt);
+                });
+}
+
 void PeerGateway::stop()
 {
     m_pool.stop();
--- a/src/relay/peergateway.h
+++ b/src/relay/peergateway.h
@@ -6,6 +6,7 @@
 #include "relay/relayrequest.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace wisteriafork {
@@ -18,6 +19,8 @@
 
     // The handler is called once, after this returned, unless the exchange is cancelled.
     std::shared_ptr<ClientExchange> send(const std::string &address, const RelayRequest &request, AttemptHandler handler);
+    // Asks a node for what it knows of the published state. The handler gets nothing if there is no answer.
+    void fetchSnapshot(const std::string &address, std::function<void(std::optional<std::string>)> handler);
     void stop();
 
 private:
@@ -25,6 +28,9 @@
     PeerPool m_pool;
 };
 
+// Path at which nodes give what they know of the published state.
+constexpr const char *SnapshotPath = "/published";
+
 // Options of the sessions between relays.
 PeerOptions relayPeerOptions();
 
--- a/src/relay/peerhandler.cpp
+++ b/src/relay/peerhandler.cpp
@@ -1,21 +1,28 @@
 #include "relay/peerhandler.h"
 
+#include "relay/peergateway.h"
 #include "relay/relayheaders.h"
 
 namespace wisteriafork {
 
-PeerHandler::PeerHandler(RelayParts &parts, ServingGateway &serving) : m_parts(parts), m_serving(serving)
+PeerHandler::PeerHandler(RelayParts &parts, ServingGateway &serving, std::function<std::string()> snapshot)
+    : m_parts(parts), m_serving(serving), m_snapshot(std::move(snapshot))
 {
 }
 
 void PeerHandler::handleRequest(std::shared_ptr<ServerExchange> exchange)
 {
+    if (exchange->request->target == SnapshotPath) {
+        exchange->respond({.status = 200, .body = m_snapshot()});
+        return;
+    }
     std::optional<RelayRequest> request = decodeRelayRequest(exchange->request, m_parts.clock.now());
     if (!request) {
         m_parts.log.write(EventNumber::MessageMalformed, {exchange->remoteAddress, "the description of the call is malformed"});
         exchange->respond({.status = 400});
         return;
     }
+    m_parts.noteVersion(request->version, request->sender);
     exchange->tag = m_serving.serve(std::move(*request), [this, exchange](AttemptOutcome outcome) {
         const bool refused = std::holds_alternative<NotRun>(outcome.result);
         m_parts.metrics.count(refused ? RelayCounter::RefusedForPeers : RelayCounter::ServedForPeers);
--- a/src/relay/peerhandler.h
+++ b/src/relay/peerhandler.h
@@ -4,13 +4,17 @@
 #include "relay/relayparts.h"
 #include "relay/servinggateway.h"
 
+#include <functional>
+#include <string>
+
 namespace wisteriafork {
 
-// Takes the requests of other nodes for the local backend server.
+// Takes the requests of other nodes: for the local backend server, and for what this node knows of the published state.
 class PeerHandler : public ServerHandler
 {
 public:
-    PeerHandler(RelayParts &parts, ServingGateway &serving);
+    // `snapshot` gives what is published, as this node knows it.
+    PeerHandler(RelayParts &parts, ServingGateway &serving, std::function<std::string()> snapshot);
 
     void handleRequest(std::shared_ptr<ServerExchange> exchange) override;
     void handleGone(ServerExchange &exchange) override;
@@ -18,6 +22,7 @@
 private:
     RelayParts &m_parts;
     ServingGateway &m_serving;
+    const std::function<std::string()> m_snapshot;
 };
 
 } // namespace wisteriafork
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -47,12 +47,12 @@
 class Relay::Private
 {
 public:
-    Private(asio::io_context &context, RelaySettings settings, EventLog &log)
+    Private(asio::io_context &context, RelaySettings settings, EventLog &log, Callbacks callbacks)
         : parts(context, std::move(settings), clock, log)
         , serving(parts)
         , peers(parts)
         , callers(parts, serving, peers)
-        , peerHandler(parts, serving)
+        , peerHandler(parts, serving, std::move(callbacks.snapshot))
         , readiness([this] { return parts.routes != nullptr && !parts.stopping; }, [this] { return parts.metrics.text(); })
         , callerServer(context, callers, callerLimits())
         , peerServer(context, peerHandler, relayPeerOptions())
@@ -62,6 +62,7 @@
         , tickTimer(context, TickInterval, [this] { tick(); })
     {
         parts.ownPeerAddress = text(parts.settings.peers);
+        parts.newerVersionSeen = std::move(callbacks.newerVersionSeen);
     }
 
     void wake()
@@ -147,8 +148,8 @@
     unsigned ticks = 0;
 };
 
-Relay::Relay(asio::io_context &context, RelaySettings settings, EventLog &log)
-    : d(std::make_unique<Private>(context, std::move(settings), log))
+Relay::Relay(asio::io_context &context, RelaySettings settings, EventLog &log, Callbacks callbacks)
+    : d(std::make_unique<Private>(context, std::move(settings), log, std::move(callbacks)))
 {
 }
 
@@ -184,7 +185,7 @@
 
 std::uint64_t Relay::configurationVersion() const
 {
-    return d->parts.routes ? d->parts.routes->version() : 0;
+    return d->parts.version();
 }
 
 void Relay::putInstance(Instance instance)
@@ -224,6 +225,11 @@
     }
 }
 
+void Relay::fetchSnapshot(const std::string &peerAddress, std::function<void(std::optional<std::string>)> handler)
+{
+    d->peers.fetchSnapshot(peerAddress, std::move(handler));
+}
+
 void Relay::stop(std::function<void()> stopped)
 {
     if (d->parts.stopping) {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,7 +20,16 @@
 class Relay
 {
 public:
-    Relay(asio::io_context &context, RelaySettings settings, EventLog &log);
+    // How the relay asks whoever reads the published state.
+    struct Callbacks
+    {
+        // Everything that is known of the published state, in a form that other nodes of this deployment understand.
+        std::function<std::string()> snapshot;
+        // The node at the address has a newer configuration in force.
+        std::function<void(const std::string &peerAddress)> newerVersionSeen;
+    };
+
+    Relay(asio::io_context &context, RelaySettings settings, EventLog &log, Callbacks callbacks);
     ~Relay();
 
     // Opens the listeners. Throws boost::system::system_error if that fails.
@@ -31,10 +41,13 @@
     void putInstance(Instance instance);
     void removeInstance(const std::string &id);
     void replaceInstances(std::vector<Instance> instances);
-    // What the deployment publishes cannot be read at present, or can be read again.
+    // The list of instances cannot be read at present, or can be read again.
     void sourceLost(const std::string &reason);
     void sourceRestored();
 
+    // Asks another node for its snapshot; the handler gets nothing if there is no answer.
+    void fetchSnapshot(const std::string &peerAddress, std::function<void(std::optional<std::string>)> handler);
+
     // Stops in order: takes no new work, finishes what is under way, then calls the function once.
     void stop(std::function<void()> stopped);
 
--- a/src/relay/relaycall.cpp
+++ b/src/relay/relaycall.cpp
@@ -132,7 +132,7 @@
 {
     const std::size_t index = m_attempts.size();
     const bool repeat = m_repeat || m_sends > 0 || hasOpenAttempt();
-    m_attempts.push_back({.instance = instance.id, .started = m_parts.clock.now()});
+    m_attempts.push_back({.instance = instance.id, .peerAddress = instance.peerAddress, .started = m_parts.clock.now()});
     m_tried.push_back(instance.id);
     m_parts.placement.sent(instance.id);
     const Duration unusual = m_parts.responseTime.unusual(m_route->name);
@@ -146,6 +146,8 @@
                          .priority = m_priority,
                          .targetLatency = m_route->targetLatency,
                          .deadline = m_deadline,
+                         .version = m_routes->version(),
+                         .sender = m_parts.ownPeerAddress,
                          .callerService = m_parts.settings.service.value()};
     auto handler = [self = shared_from_this(), index](AttemptOutcome outcome) { self->ended(index, std::move(outcome)); };
     if (instance.peerAddress == m_parts.ownPeerAddress) {
@@ -165,6 +167,7 @@
     if (outcome.report) {
         m_parts.placement.report(attempt.instance, *outcome.report);
         m_parts.pressure.report(m_route->name, outcome.report->pressure);
+        m_parts.noteVersion(outcome.report->version, attempt.peerAddress);
     }
     std::visit([this, &attempt](auto &result) { on(attempt, result); }, outcome.result);
 }
--- a/src/relay/relaycall.h
+++ b/src/relay/relaycall.h
@@ -33,6 +33,7 @@
     struct Attempt
     {
         std::string instance;
+        std::string peerAddress;
         TimePoint started;
         // Set for the local backend server and for another node, respectively.
         CallId local = 0;
--- a/src/relay/relayheaders.cpp
+++ b/src/relay/relayheaders.cpp
@@ -13,9 +13,10 @@
 constexpr const char *InstanceField = "wf-instance";
 constexpr const char *RouteField = "wf-route";
 constexpr const char *ServiceField = "wf-service";
-// Kind, inner, repeat, priority, microseconds of the target latency, microseconds that remain.
+constexpr const char *SenderField = "wf-from";
+// Kind, inner, repeat, priority, microseconds of the target latency, microseconds that remain, configuration version.
 constexpr const char *CallField = "wf-call";
-// Limit, running, queued, microseconds of the holding time, pressure in 1/1000, leaving.
+// Limit, running, queued, microseconds of the holding time, pressure in 1/1000, configuration version, leaving.
 constexpr const char *ReportField = "wf-report";
 // Number of a `NotRunReason`, or "unknown" or "node-lost".
 constexpr const char *FailureField = "wf-failure";
@@ -65,22 +66,24 @@
 
 std::string encodeReport(const ServingReport &report)
 {
-    return joinNumbers(std::array<std::int64_t, 6>{report.limit, report.running, report.queued, microseconds(report.holdingTime),
-                                                   static_cast<std::int64_t>(report.pressure * PressureScale), report.leaving ? 1 : 0});
+    return joinNumbers(std::array<std::int64_t, 7>{report.limit, report.running, report.queued, microseconds(report.holdingTime),
+                                                   static_cast<std::int64_t>(report.pressure * PressureScale),
+                                                   static_cast<std::int64_t>(report.version), report.leaving ? 1 : 0});
 }
 
 std::optional<ServingReport> decodeReport(std::string_view text)
 {
-    const auto numbers = parseNumbers<6>(text);
+    const auto numbers = parseNumbers<7>(text);
     if (!numbers) {
         return std::nullopt;
     }
-    const auto &[limit, running, queued, holding, pressure, leaving] = *numbers;
+    const auto &[limit, running, queued, holding, pressure, version, leaving] = *numbers;
     return ServingReport{.limit = static_cast<std::uint32_t>(limit),
                          .running = static_cast<std::uint32_t>(running),
                          .queued = static_cast<std::uint32_t>(queued),
                          .holdingTime = std::chrono::microseconds(holding),
                          .pressure = static_cast<double>(pressure) / PressureScale,
+                         .version = static_cast<std::uint64_t>(version),
                          .leaving = leaving != 0};
 }
 
@@ -96,30 +99,34 @@
     fields.add(RouteField, request.route);
     fields.add(ServiceField, request.callerService);
     fields.add(CallField,
-               joinNumbers(std::array<std::int64_t, 6>{static_cast<std::int64_t>(request.kind), request.inner ? 1 : 0, request.repeat ? 1 : 0, request.priority,
-                                                       microseconds(request.targetLatency), microseconds(request.deadline - now)}));
+               joinNumbers(std::array<std::int64_t, 7>{static_cast<std::int64_t>(request.kind), request.inner ? 1 : 0, request.repeat ? 1 : 0, request.priority,
+                                                       microseconds(request.targetLatency), microseconds(request.deadline - now),
+                                                       static_cast<std::int64_t>(request.version)}));
+    fields.add(SenderField, request.sender);
     return fields;
 }
 
 std::optional<RelayRequest> decodeRelayRequest(const std::shared_ptr<HttpRequest> &received, TimePoint now)
 {
     HttpHeaders &headers = received->headers;
-    const auto numbers = parseNumbers<6>(takeField(headers, CallField));
+    const auto numbers = parseNumbers<7>(takeField(headers, CallField));
     RelayRequest request{.http = received,
                          .instance = takeField(headers, InstanceField),
                          .route = takeField(headers, RouteField),
+                         .sender = takeField(headers, SenderField),
                          .callerService = takeField(headers, ServiceField)};
     received->method = takeField(headers, MethodField);
     received->target = takeField(headers, TargetField);
     if (!numbers || received->method.empty() || received->target.empty() || request.instance.empty()) {
         return std::nullopt;
     }
-    const auto &[kind, inner, repeat, priority, target, remaining] = *numbers;
+    const auto &[kind, inner, repeat, priority, target, remaining, version] = *numbers;
     request.kind = kind == static_cast<std::int64_t>(RequestKind::Idempotent) ? RequestKind::Idempotent : RequestKind::NonIdempotent;
     request.inner = inner != 0;
     request.repeat = repeat != 0;
     request.priority = static_cast<unsigned>(priority);
     request.targetLatency = std::chrono::microseconds(target);
+    request.version = static_cast<std::uint64_t>(version);
     request.deadline = now + std::chrono::microseconds(remaining);
     return request;
 }
--- a/src/relay/relayparts.h
+++ b/src/relay/relayparts.h
@@ -16,6 +16,7 @@
 #include "relay/relaymetrics.h"
 #include "relay/relaysettings.h"
 
+#include <functional>
 #include <memory>
 
 namespace wisteriafork {
@@ -58,7 +59,22 @@
     ResponseTime responseTime;
     // Address at which other nodes reach this one.
     std::string ownPeerAddress;
+    // Called when a node at the given address has a newer configuration in force.
+    std::function<void(const std::string &peerAddress)> newerVersionSeen;
     bool stopping = false;
+
+    std::uint64_t version() const
+    {
+        return routes ? routes->version() : 0;
+    }
+
+    // Takes the version that another node has in force.
+    void noteVersion(std::uint64_t seen, const std::string &peerAddress) const
+    {
+        if (seen > version() && newerVersionSeen) {
+            newerVersionSeen(peerAddress);
+        }
+    }
 };
 
 } // namespace wisteriafork
--- a/src/relay/relayrequest.h
+++ b/src/relay/relayrequest.h
@@ -26,6 +26,9 @@
     Duration targetLatency{0};
     // Local time at which the answer is no longer of use.
     TimePoint deadline;
+    // Version of the configuration in force at the sender, and the sender's address.
+    std::uint64_t version = 0;
+    std::string sender;
     // Service of the host on which the request began.
     std::string callerService;
 };
--- a/src/relay/servinggateway.cpp
+++ b/src/relay/servinggateway.cpp
@@ -217,6 +217,7 @@
     for (const std::string &callee : m_parts.running.calleesOf(route)) {
         report.pressure = std::max(report.pressure, m_parts.pressure.of(callee));
     }
+    report.version = m_parts.version();
     report.leaving = m_parts.stopping;
     return report;
 }
