Let calls leave their failure domain when the instances there are full

Cause: a call left its own failure domain only for a wait above 0.08 of its target (24 ms for the shortest); instances differ in speed, so the slow ones stood at that wait all the time, five times in each chain, while faster ones had free slots. Ruled out: stale reports, since the waits of the slow failure domains stayed after the noise was added.

--- a/src/core/relay/placement.h
+++ b/src/core/relay/placement.h
@@ -15,13 +15,13 @@
 
 struct PlacementOptions
 {
-    // Extra time, in parts of the target latency, that a call may take before it leaves its failure domain: bytes between failure domains
-    // are expensive.
-    double domainCost = 0.08;
+    // Extra waiting time, in parts of the target latency, that a call may take before it leaves its failure domain: bytes between failure
+    // domains are expensive. It is less than the round trip to another one takes at most twice (20 ms) for the shortest targets (300 ms).
+    double domainCost = 0.03;
     // Extra time of an instance whose calls all fail, in parts of the target latency.
     double failureCost = 4.0;
     // Weight of measured latency against waiting time. Latency differs with the speed of instances, which matters only when they queue.
-    double latencyWeight = 0.5;
+    double latencyWeight = 0.15;
     // Random part of an estimate, so that nodes with the same reports do not all choose the same instance.
     double jitter = 0.2;
     // Instances compared for one call within a failure domain; more would not improve the choice.
