Send less between failure domains, and compare failures with the other instances

Cause: two thirds of the calls of every route left their failure domain although the instances there had free slots. Failures that come from the services behind made the instances differ by chance, and the noise applied to the whole latency. A latency now counts only above half of the target, noise only on the wait, and failures only above those of the best instance. Values that never repeat travel in one field outside of the compression table, and fields that the receiver sets anew are left out.

--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -36,6 +36,12 @@
             (instance.domain == m_ownDomain ? near : far).push_back(&instance);
         }
     }
+    double leastFailures = 1.0;
+    for (const std::vector<const Instance *> *candidates : {&near, &far}) {
+        for (const Instance *instance : *candidates) {
+            leastFailures = std::min(leastFailures, failureShare(instance->id));
+        }
+    }
     const Instance *best = nullptr;
     double leastCost = 0.0;
     std::uniform_real_distribution<double> noise(1.0 - m_options.jitter, 1.0 + m_options.jitter);
@@ -45,7 +51,7 @@
             candidates->resize(m_options.samples);
         }
         for (const Instance *instance : *candidates) {
-            const double instanceCost = cost(*instance, route, targetLatency) * noise(m_random);
+            const double instanceCost = cost(*instance, route, targetLatency, leastFailures, noise(m_random));
             if (best == nullptr || instanceCost < leastCost) {
                 best = instance;
                 leastCost = instanceCost;
@@ -113,7 +119,8 @@
     return found == m_states.end() ? 0.0 : found->second.failures * weightOf(found->second.failureUpdated);
 }
 
-double Placement::cost(const Instance &instance, const std::string &route, Duration targetLatency) const
+double Placement::cost(const Instance &instance, const std::string &route, Duration targetLatency, double leastFailures,
+                       double noise) const
 {
     const double target = seconds(targetLatency);
     double total = instance.domain == m_ownDomain ? 0.0 : m_options.domainCost * target;
@@ -126,9 +133,11 @@
         total += Unusable;
     }
     if (const auto known = state.latencies.find(route); known != state.latencies.end()) {
-        total += m_options.latencyWeight * known->second.seconds * weightOf(known->second.updated);
+        const double free = m_options.freeLatency * target;
+        total += std::max(0.0, known->second.seconds - free) * weightOf(known->second.updated);
     }
-    return total + waitAt(state) + m_options.failureCost * target * state.failures * weightOf(state.failureUpdated);
+    const double failures = state.failures * weightOf(state.failureUpdated) - leastFailures - m_options.freeFailures;
+    return total + noise * waitAt(state) + m_options.failureCost * target * std::max(0.0, failures);
 }
 
 double Placement::waitAt(const State &state) const
--- a/src/core/relay/placement.h
+++ b/src/core/relay/placement.h
@@ -17,12 +17,16 @@
 {
     // Extra waiting time, in parts of the target latency, that a call may take before it leaves its failure domain: bytes between failure
     // domains are expensive. It is less than the round trip to another one takes at most twice (20 ms) for the shortest targets (300 ms).
-    double domainCost = 0.03;
+    double domainCost = 0.04;
     // Extra time of an instance whose calls all fail, in parts of the target latency.
     double failureCost = 4.0;
-    // Weight of measured latency against waiting time. Latency differs with the speed of instances, which matters only when they queue.
-    double latencyWeight = 0.15;
-    // Random part of an estimate, so that nodes with the same reports do not all choose the same instance.
+    // Share of failed calls above that of the best instance up to which failures do not count: those that come from the services behind
+    // spread over all instances.
+    double freeFailures = 0.15;
+    // Part of the target latency up to which a measured latency does not count: instances differ in speed, which matters only when answers
+    // are at risk of being late.
+    double freeLatency = 0.5;
+    // Random part of an estimated wait, so that nodes with the same reports do not all choose the same instance.
     double jitter = 0.2;
     // Instances compared for one call within a failure domain; more would not improve the choice.
     std::size_t samples = 4;
@@ -88,7 +92,8 @@
     };
 
     // Expected time of a call in seconds, with the penalties of the options.
-    double cost(const Instance &instance, const std::string &route, Duration targetLatency) const;
+    // `leastFailures` is the failure share of the best candidate.
+    double cost(const Instance &instance, const std::string &route, Duration targetLatency, double leastFailures, double noise) const;
     double waitAt(const State &state) const;
     double weightOf(TimePoint updated) const;
 
--- a/src/net/http2engine.cpp
+++ b/src/net/http2engine.cpp
@@ -146,6 +146,15 @@
         observer.streamFailed(id, error);
     }
 
+    nghttp2_nv field(std::string_view name, std::string_view value) const
+    {
+        nghttp2_nv encoded = http2Field(name, value);
+        if (std::ranges::find(options.uniqueFields, name) != options.uniqueFields.end()) {
+            encoded.flags |= NGHTTP2_NV_FLAG_NO_INDEX;
+        }
+        return encoded;
+    }
+
     static Private &self(void *userData)
     {
         return *static_cast<Private *>(userData);
@@ -279,12 +288,12 @@
     fields.push_back(http2Field(":authority", "node"));
     for (const auto &[name, value] : request->headers.fields()) {
         if (!extra.contains(name)) {
-            fields.push_back(http2Field(name, value));
+            fields.push_back(d->field(name, value));
         }
     }
     for (const auto &[name, value] : extra.fields()) {
-        if (!name.starts_with(':')) {
-            fields.push_back(http2Field(name, value));
+        if (!name.starts_with(':') && !value.empty()) {
+            fields.push_back(d->field(name, value));
         }
     }
     auto stream = std::make_unique<Http2Stream>();
@@ -314,7 +323,7 @@
         fields.push_back(http2Field(HeadLengthField, headLength));
     }
     for (const auto &[name, value] : response.headers.fields()) {
-        fields.push_back(http2Field(name, value));
+        fields.push_back(d->field(name, value));
     }
     stream->outgoingBody = std::move(response.body);
     const nghttp2_data_provider provider{.source = {.ptr = stream}, .read_callback = Private::readBody};
--- a/src/net/http2engine.h
+++ b/src/net/http2engine.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace wisteriafork {
 
@@ -34,6 +35,8 @@
     HttpLimits limits;
     std::uint32_t concurrentStreams = 4096;
     std::size_t bufferedBytes = std::size_t{64} * 1024 * 1024;
+    // Header fields whose values never repeat. They are kept out of the compression table, where they would displace those that do.
+    std::vector<std::string> uniqueFields;
 };
 
 // One HTTP/2 session without I/O: takes received bytes and gives bytes to send. Requests and answers are collected whole. Not thread safe.
@@ -51,7 +54,7 @@
     bool receive(std::string_view input);
     // Appends bytes to send, up to about `limit`. False if the session is broken.
     bool takeOutput(std::string &output, std::size_t limit);
-    // Client side: starts a stream. `extra` replaces header fields of the request. Negative if no stream can be started any more.
+    // Client side: starts a stream. `extra` replaces header fields of the request; one with an empty value leaves the field out. Negative if no stream can be started any more.
     StreamId submitRequest(const std::shared_ptr<const HttpRequest> &request, const HttpHeaders &extra);
     // Server side: answers a stream. Does nothing if the stream has ended.
     void submitResponse(StreamId stream, HttpResponse response);
--- a/src/net/http2session.cpp
+++ b/src/net/http2session.cpp
@@ -18,7 +18,8 @@
                {.server = server,
                 .limits = options.limits,
                 .concurrentStreams = options.concurrentStreams,
-                .bufferedBytes = options.bufferedBytes})
+                .bufferedBytes = options.bufferedBytes,
+                .uniqueFields = options.uniqueFields})
     , m_timer(m_transport->strand())
     , m_server(server)
 {
--- a/src/net/peeroptions.h
+++ b/src/net/peeroptions.h
@@ -5,6 +5,8 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <string>
+#include <vector>
 
 namespace wisteriafork {
 
@@ -25,6 +27,8 @@
     std::uint32_t concurrentStreams = 4096;
     // Request bytes that one session may hold; further streams are refused.
     std::size_t bufferedBytes = std::size_t{64} * 1024 * 1024;
+    // Header fields whose values never repeat; they are kept out of the header compression.
+    std::vector<std::string> uniqueFields;
     // Mutual authentication; null means plain text.
     std::shared_ptr<const TlsContext> tls;
 };
--- a/src/relay/peergateway.cpp
+++ b/src/relay/peergateway.cpp
@@ -25,6 +25,7 @@
     options.connectTimeout = ConnectTimeout;
     options.reconnectPause = ReconnectPause;
     options.pingAfter = PingAfter;
+    options.uniqueFields = {CallField, ReportField};
     return options;
 }
 
@@ -37,7 +38,7 @@
     auto finished = [this, handler = std::move(handler)](tl::expected<HttpResponse, ExchangeError> result) {
         AttemptOutcome outcome{.result = OutcomeUnknown{.nodeLost = true}};
         if (result) {
-            if (std::optional<AttemptOutcome> decoded = decodeOutcome(std::move(*result))) {
+            if (std::optional<AttemptOutcome> decoded = decodeOutcome(std::move(*result), m_parts.settings.headers)) {
                 outcome = std::move(*decoded);
             }
         } else if (result.error() == ExchangeError::NotSent) {
@@ -45,7 +46,7 @@
         }
         asio::post(m_parts.context, [handler, outcome = std::move(outcome)]() mutable { handler(std::move(outcome)); });
     };
-    return m_pool.send(address, request.http, encodeRelayRequest(request, m_parts.clock.now()), std::move(finished));
+    return m_pool.send(address, request.http, encodeRelayRequest(request, m_parts.settings.headers, m_parts.clock.now()), std::move(finished));
 }
 
 void PeerGateway::fetchSnapshot(const std::string &address, std::function<void(std::optional<std::string>)> handler)
--- a/src/relay/peerhandler.cpp
+++ b/src/relay/peerhandler.cpp
@@ -16,7 +16,7 @@
         exchange->respond({.status = 200, .body = m_snapshot()});
         return;
     }
-    std::optional<RelayRequest> request = decodeRelayRequest(exchange->request, m_parts.clock.now());
+    std::optional<RelayRequest> request = decodeRelayRequest(exchange->request, m_parts.settings.headers, m_parts.clock.now());
     if (!request) {
         m_parts.log.write(EventNumber::MessageMalformed, {exchange->remoteAddress, "the description of the call is malformed"});
         exchange->respond({.status = 400});
@@ -26,11 +26,7 @@
     exchange->tag = m_serving.serve(std::move(*request), [this, exchange](AttemptOutcome outcome) {
         const bool refused = std::holds_alternative<NotRun>(outcome.result);
         m_parts.metrics.count(refused ? RelayCounter::RefusedForPeers : RelayCounter::ServedForPeers);
-        if (auto *answer = std::get_if<ServerAnswer>(&outcome.result)) {
-            // The node of the caller knows the id; it need not travel twice.
-            answer->response.headers.remove(m_parts.settings.headers.requestId);
-        }
-        exchange->respond(encodeOutcome(std::move(outcome)));
+        exchange->respond(encodeOutcome(std::move(outcome), m_parts.settings.headers));
     });
 }
 
--- a/src/relay/relayheaders.cpp
+++ b/src/relay/relayheaders.cpp
@@ -9,15 +9,14 @@
 namespace {
 
 constexpr const char *MethodField = "wf-method";
-constexpr const char *TargetField = "wf-target";
 constexpr const char *InstanceField = "wf-instance";
 constexpr const char *RouteField = "wf-route";
 constexpr const char *ServiceField = "wf-service";
 constexpr const char *SenderField = "wf-from";
-// Kind, inner, repeat, priority, microseconds of the target latency, microseconds that remain, configuration version.
-constexpr const char *CallField = "wf-call";
-// Limit, running, queued, microseconds of the holding time, pressure in 1/1000, configuration version, leaving.
-constexpr const char *ReportField = "wf-report";
+// `CallField` holds, separated by semicolons: kind, inner, repeat, priority, microseconds of the target latency, microseconds that remain,
+// configuration version; then, separated by spaces, request id and target.
+// `ReportField` holds: limit, running, queued, microseconds of the holding time, pressure in 1/1000, configuration version, leaving; then
+// the mark of the backend server.
 // Number of a `NotRunReason`, or "unknown" or "node-lost".
 constexpr const char *FailureField = "wf-failure";
 constexpr std::string_view UnknownFailure = "unknown";
@@ -64,6 +63,15 @@
     return value;
 }
 
+// The part of a text up to the next space, which is removed with it.
+std::string_view takeWord(std::string_view &text)
+{
+    const std::size_t space = text.find(' ');
+    const std::string_view word = text.substr(0, space);
+    text.remove_prefix(space == std::string_view::npos ? text.size() : space + 1);
+    return word;
+}
+
 std::string encodeReport(const ServingReport &report)
 {
     return joinNumbers(std::array<std::int64_t, 7>{report.limit, report.running, report.queued, microseconds(report.holdingTime),
@@ -89,34 +97,44 @@
 
 } // namespace
 
-HttpHeaders encodeRelayRequest(const RelayRequest &request, TimePoint now)
+HttpHeaders encodeRelayRequest(const RelayRequest &request, const HeaderNames &names, TimePoint now)
 {
+    const std::string numbers
+        = joinNumbers(std::array<std::int64_t, 7>{static_cast<std::int64_t>(request.kind), request.inner ? 1 : 0, request.repeat ? 1 : 0,
+                                                  request.priority, microseconds(request.targetLatency),
+                                                  microseconds(request.deadline - now), static_cast<std::int64_t>(request.version)});
     HttpHeaders fields;
     fields.add(":path", "/call");
     fields.add(MethodField, request.http->method);
-    fields.add(TargetField, request.http->target);
     fields.add(InstanceField, request.instance);
     fields.add(RouteField, request.route);
     fields.add(ServiceField, request.callerService);
-    fields.add(CallField,
-               joinNumbers(std::array<std::int64_t, 7>{static_cast<std::int64_t>(request.kind), request.inner ? 1 : 0, request.repeat ? 1 : 0, request.priority,
-                                                       microseconds(request.targetLatency), microseconds(request.deadline - now),
-                                                       static_cast<std::int64_t>(request.version)}));
     fields.add(SenderField, request.sender);
+    fields.add(CallField, numbers + " " + std::string(request.http->headers.find(names.requestId)) + " " + request.http->target);
+    // The receiver sets these anew.
+    for (const std::string &name : {names.requestId, names.deadline, names.callerService, names.expectedInstance}) {
+        fields.add(name, std::string());
+    }
     return fields;
 }
 
-std::optional<RelayRequest> decodeRelayRequest(const std::shared_ptr<HttpRequest> &received, TimePoint now)
+std::optional<RelayRequest> decodeRelayRequest(const std::shared_ptr<HttpRequest> &received, const HeaderNames &names, TimePoint now)
 {
     HttpHeaders &headers = received->headers;
-    const auto numbers = parseNumbers<7>(takeField(headers, CallField));
+    const std::string call = takeField(headers, CallField);
+    std::string_view rest = call;
+    const auto numbers = parseNumbers<7>(takeWord(rest));
+    const std::string_view id = takeWord(rest);
     RelayRequest request{.http = received,
                          .instance = takeField(headers, InstanceField),
                          .route = takeField(headers, RouteField),
                          .sender = takeField(headers, SenderField),
                          .callerService = takeField(headers, ServiceField)};
     received->method = takeField(headers, MethodField);
-    received->target = takeField(headers, TargetField);
+    received->target = rest;
+    if (!id.empty()) {
+        headers.add(names.requestId, std::string(id));
+    }
     if (!numbers || received->method.empty() || received->target.empty() || request.instance.empty()) {
         return std::nullopt;
     }
@@ -131,28 +149,36 @@
     return request;
 }
 
-HttpResponse encodeOutcome(AttemptOutcome outcome)
+HttpResponse encodeOutcome(AttemptOutcome outcome, const HeaderNames &names)
 {
     HttpResponse response{.status = 503};
     if (auto *answer = std::get_if<ServerAnswer>(&outcome.result)) {
         response = std::move(answer->response);
+        // The node of the caller knows the id; it need not travel twice.
+        response.headers.remove(names.requestId);
     } else if (const auto *notRun = std::get_if<NotRun>(&outcome.result)) {
         response.headers.add(FailureField, std::to_string(static_cast<unsigned>(notRun->reason)));
     } else {
         response.status = 502;
         response.headers.add(FailureField, std::string(UnknownFailure));
     }
-    response.headers.add(ReportField, encodeReport(outcome.report.value_or(ServingReport{})));
+    const std::string seal = takeField(response.headers, names.seal.c_str());
+    response.headers.add(ReportField, encodeReport(outcome.report.value_or(ServingReport{})) + (seal.empty() ? "" : " ") + seal);
     return response;
 }
 
-std::optional<AttemptOutcome> decodeOutcome(HttpResponse response)
+std::optional<AttemptOutcome> decodeOutcome(HttpResponse response, const HeaderNames &names)
 {
     AttemptOutcome outcome;
-    outcome.report = decodeReport(takeField(response.headers, ReportField));
+    const std::string report = takeField(response.headers, ReportField);
+    std::string_view rest = report;
+    outcome.report = decodeReport(takeWord(rest));
     if (!outcome.report) {
         return std::nullopt;
     }
+    if (!rest.empty()) {
+        response.headers.add(names.seal, std::string(rest));
+    }
     const std::string failure = takeField(response.headers, FailureField);
     if (failure.empty()) {
         outcome.result = ServerAnswer{.response = std::move(response)};
