Spend repeats where they help, and keep requests that crash backend servers from more of them

A failure that most requests of a route share is no longer repeated; scarce repeats go to the most urgent requests; a request that an instance did not run may be sent again to the instances that it may use. The crash guard of the product now watches the relay's runs; suspects are reported to all nodes and refused at their entry.

--- a/src/core/relay/instancedirectory.cpp
+++ b/src/core/relay/instancedirectory.cpp
@@ -114,6 +114,17 @@
     return found == m_atAddress.end() ? nullptr : find(found->second);
 }
 
+std::set<std::string> InstanceDirectory::peerAddresses() const
+{
+    std::set<std::string> addresses;
+    for (const auto &[service, list] : m_services) {
+        for (const Instance &instance : list) {
+            addresses.insert(instance.peerAddress);
+        }
+    }
+    return addresses;
+}
+
 std::size_t InstanceDirectory::size() const
 {
     return m_serviceOf.size();
--- a/src/core/relay/instancedirectory.h
+++ b/src/core/relay/instancedirectory.h
@@ -3,6 +3,7 @@
 #include "core/relay/instance.h"
 
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -43,6 +44,8 @@
     const Instance *find(std::string_view id) const;
     // Instance at the given backend server address. Of several entries the latest counts: an address is used again.
     const Instance *atAddress(std::string_view address) const;
+    // Addresses of the nodes beside all listed instances.
+    std::set<std::string> peerAddresses() const;
     std::size_t size() const;
 
 private:
--- a/src/core/relay/retrybudget.cpp
+++ b/src/core/relay/retrybudget.cpp
@@ -27,10 +27,10 @@
     available = std::max(MostDebt, available - 1.0);
 }
 
-bool RetryBudget::take(const ServiceId &service)
+bool RetryBudget::take(const ServiceId &service, unsigned priority)
 {
     double &available = tokens(service);
-    if (available < 1.0) {
+    if (available < (priority == 0 ? 1.0 : 1.0 + m_options.urgentReserve)) {
         return false;
     }
     available -= 1.0;
--- a/src/core/relay/responsetime.cpp
+++ b/src/core/relay/routeoutcomes.cpp
@@ -1,4 +1,4 @@
-#include "core/relay/responsetime.h"
+#include "core/relay/routeoutcomes.h"
 
 #include <cmath>
 
@@ -10,6 +10,8 @@
 constexpr double MeanWeight = 0.125;
 constexpr double DeviationWeight = 0.25;
 constexpr double Deviations = 4.0;
+// Weight of one answer in the share of failures.
+constexpr double FailureWeight = 0.1;
 // Samples before the estimate is used.
 constexpr unsigned EnoughSamples = 10;
 // Least time, so that a pause of a process does not count as a lost answer.
@@ -17,9 +19,10 @@
 
 } // namespace
 
-void ResponseTime::sample(const std::string &route, Duration time)
+void RouteOutcomes::succeeded(const std::string &route, Duration time)
 {
     Estimate &estimate = m_routes[route];
+    estimate.failures -= FailureWeight * estimate.failures;
     const double seconds = std::chrono::duration<double>(time).count();
     if (estimate.samples++ == 0) {
         estimate.mean = seconds;
@@ -30,7 +33,19 @@
     estimate.mean += MeanWeight * (seconds - estimate.mean);
 }
 
-Duration ResponseTime::unusual(const std::string &route) const
+void RouteOutcomes::failed(const std::string &route)
+{
+    Estimate &estimate = m_routes[route];
+    estimate.failures += FailureWeight * (1.0 - estimate.failures);
+}
+
+double RouteOutcomes::failureShare(const std::string &route) const
+{
+    const auto found = m_routes.find(route);
+    return found == m_routes.end() ? 0.0 : found->second.failures;
+}
+
+Duration RouteOutcomes::unusualTime(const std::string &route) const
 {
     const auto found = m_routes.find(route);
     if (found == m_routes.end() || found->second.samples < EnoughSamples) {
--- a/src/relay/attemptoutcome.h
+++ b/src/relay/attemptoutcome.h
@@ -29,6 +29,8 @@
     OtherInstance,
     // The node stops.
     Leaving,
+    // A request like it was in flight when two backend servers crashed.
+    SuspectedOfCrash,
     // The node or the backend server could not be reached; nothing was sent.
     Unreachable,
 };
@@ -69,6 +71,8 @@
         return "other-instance";
     case NotRunReason::Leaving:
         return "leaving";
+    case NotRunReason::SuspectedOfCrash:
+        return "suspected-of-crash";
     case NotRunReason::Unreachable:
         break;
     }
--- a/src/relay/peergateway.cpp
+++ b/src/relay/peergateway.cpp
@@ -61,6 +61,15 @@
                 });
 }
 
+void PeerGateway::sendSuspects(const std::string &address, const std::string &encodedSuspects)
+{
+    HttpHeaders fields;
+    fields.add(":path", SuspectsPath);
+    auto request = std::make_shared<HttpRequest>();
+    request->body = encodedSuspects;
+    m_pool.send(address, std::move(request), std::move(fields), [](const tl::expected<HttpResponse, ExchangeError> &) {});
+}
+
 void PeerGateway::stop()
 {
     m_pool.stop();
--- a/src/relay/peergateway.h
+++ b/src/relay/peergateway.h
@@ -21,6 +21,8 @@
     std::shared_ptr<ClientExchange> send(const std::string &address, const RelayRequest &request, AttemptHandler handler);
     // Asks a node for what it knows of the published state. The handler gets nothing if there is no answer.
     void fetchSnapshot(const std::string &address, std::function<void(std::optional<std::string>)> handler);
+    // Tells a node which requests are suspected of crashing backend servers. Nothing comes back; reports are repeated by their source.
+    void sendSuspects(const std::string &address, const std::string &encodedSuspects);
     void stop();
 
 private:
@@ -30,6 +32,8 @@
 
 // Path at which nodes give what they know of the published state.
 constexpr const char *SnapshotPath = "/published";
+// Path at which nodes take reports on requests that are suspected of crashing backend servers.
+constexpr const char *SuspectsPath = "/suspects";
 
 // Options of the sessions between relays.
 PeerOptions relayPeerOptions();
--- a/src/relay/peerhandler.cpp
+++ b/src/relay/peerhandler.cpp
@@ -1,5 +1,6 @@
 #include "relay/peerhandler.h"
 
+#include "net/codec.h"
 #include "relay/peergateway.h"
 #include "relay/relayheaders.h"
 
@@ -16,6 +17,15 @@
         exchange->respond({.status = 200, .body = m_snapshot()});
         return;
     }
+    if (exchange->request->target == SuspectsPath) {
+        if (const auto suspects = decodeMessage<CrashSuspects>(exchange->request->body)) {
+            m_parts.crashGuard.receive(*suspects);
+        } else {
+            m_parts.log.write(EventNumber::MessageMalformed, {exchange->remoteAddress, "the report on suspects is malformed"});
+        }
+        exchange->respond({.status = 204});
+        return;
+    }
     std::optional<RelayRequest> request = decodeRelayRequest(exchange->request, m_parts.settings.headers, m_parts.clock.now());
     if (!request) {
         m_parts.log.write(EventNumber::MessageMalformed, {exchange->remoteAddress, "the description of the call is malformed"});
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -2,12 +2,14 @@
 
 #include "daemon/repeatingtimer.h"
 #include "daemon/steadyclock.h"
+#include "net/codec.h"
 #include "net/httpserver.h"
 #include "net/peerserver.h"
 #include "relay/callerhandler.h"
 #include "relay/peerhandler.h"
 #include "relay/readinesshandler.h"
 
+#include <cinttypes>
 #include <cstdio>
 #include <sstream>
 
@@ -78,12 +80,35 @@
     {
         parts.directory.tick();
         serving.tick();
+        reportSuspects();
         logLoad();
         if (const Instance *own = parts.directory.atAddress(text(parts.settings.server))) {
             parts.queue.setSlots(own->slots);
         }
     }
 
+    void reportSuspects()
+    {
+        parts.crashGuard.tick();
+        if (const std::optional<CrashSuspects> reports = parts.crashGuard.takeReports()) {
+            const std::string encoded = encodeMessage(*reports);
+            for (const std::string &address : parts.directory.peerAddresses()) {
+                if (address != parts.ownPeerAddress) {
+                    peers.sendSuspects(address, encoded);
+                }
+            }
+            for (const SuspectReport &report : reports->suspects) {
+                char fingerprint[40];
+                std::snprintf(fingerprint, sizeof(fingerprint), "%016" PRIx64 "%016" PRIx64, report.fingerprint.high,
+                              report.fingerprint.low);
+                const EventNumber event = report.state == SuspectState::Banned ? EventNumber::RequestBlocked
+                    : report.state == SuspectState::Suspected                  ? EventNumber::RequestSuspected
+                                                                               : EventNumber::RequestCleared;
+                parts.log.decision(event, false, {fingerprint, parts.settings.service.value(), std::to_string(report.crashes.size())});
+            }
+        }
+    }
+
     // One line a second while there is work.
     void logLoad()
     {
--- a/src/relay/relaycall.cpp
+++ b/src/relay/relaycall.cpp
@@ -21,6 +21,8 @@
 constexpr Duration LeastRemaining = std::chrono::milliseconds(20);
 // Retry-After before the first configuration is known.
 constexpr Duration UnconfiguredRetryAfter = std::chrono::milliseconds(500);
+// Share of failed answers of a route above which a failure is not taken for one of the instance.
+constexpr double SystemicFailures = 0.3;
 // Pressure of a route above which slow answers are due to load and are not asked for a second time.
 constexpr double MostHedgePressure = 0.1;
 
@@ -59,6 +61,10 @@
     if (!findRoute()) {
         return;
     }
+    if (m_parts.crashGuard.suspectCount() > 0 && m_parts.crashGuard.banned(RelayRequest{.http = m_exchange->request}.fingerprint())) {
+        refuse("suspected-of-crash");
+        return;
+    }
     m_priority = m_route->priority;
     if (parent != nullptr) {
         m_priority = parent->priority;
@@ -117,8 +123,18 @@
     return false;
 }
 
+void RelayCall::noteReached(const std::string &instance)
+{
+    if (std::ranges::find(m_reached, instance) == m_reached.end()) {
+        m_reached.push_back(instance);
+    }
+}
+
 bool RelayCall::sendNext()
 {
+    if (m_reached.size() >= m_route->maxAttempts) {
+        return sendAgain();
+    }
     const Instance *instance = m_parts.placement.choose(m_parts.directory.of(m_service), m_tried, m_route->name, m_route->targetLatency);
     if (instance == nullptr) {
         return false;
@@ -127,14 +143,27 @@
     return true;
 }
 
+bool RelayCall::sendAgain()
+{
+    // The instance that was asked the longest ago comes first.
+    for (const std::string &id : m_reached) {
+        const Instance *instance = m_parts.directory.find(id);
+        if (instance != nullptr && !instance->draining && (id != m_tried.back() || m_reached.size() == 1)) {
+            sendTo(*instance);
+            return true;
+        }
+    }
+    return false;
+}
+
 void RelayCall::sendTo(const Instance &instance)
 {
     const std::size_t index = m_attempts.size();
-    const bool repeat = m_repeat || m_sends > 0 || hasOpenAttempt();
+    const bool repeat = m_repeat || !m_reached.empty() || hasOpenAttempt();
     m_attempts.push_back({.instance = instance.id, .peerAddress = instance.peerAddress, .started = m_parts.clock.now()});
     m_tried.push_back(instance.id);
     m_parts.placement.sent(instance.id);
-    const Duration unusual = m_parts.responseTime.unusual(m_route->name);
+    const Duration unusual = m_parts.outcomes.unusualTime(m_route->name);
     m_hedgeAt = unusual > Duration(0) ? m_parts.clock.now() + unusual : TimePoint::max();
     RelayRequest request{.http = m_exchange->request,
                          .instance = instance.id,
@@ -179,17 +208,21 @@
     const bool failed = answer.response.status >= 500;
     m_parts.placement.ended(attempt.instance, m_route->name, failed ? PlacementOutcome::Failed : PlacementOutcome::Answered, took);
     ++m_sends;
+    noteReached(attempt.instance);
     if (!failed) {
-        m_parts.responseTime.sample(m_route->name, took);
+        m_parts.outcomes.succeeded(m_route->name, took);
         relay(std::move(answer.response), RelayCounter::Succeeded);
         return;
     }
+    m_parts.outcomes.failed(m_route->name);
     m_mayHaveRun = true;
     m_failure = std::move(answer.response);
     if (hasOpenAttempt()) {
         return;
     }
-    if (!mayRepeat() || !sendNext()) {
+    // A failure that most requests share comes from a service behind; another run would repeat all of its calls in vain.
+    const bool systemic = m_parts.outcomes.failureShare(m_route->name) > SystemicFailures;
+    if (systemic || !mayRepeat() || !sendNext()) {
         conclude();
     }
 }
@@ -206,11 +239,14 @@
     m_parts.log.decision(EventNumber::RelayMoved, false,
                          {std::string(requestId()), m_route->name, attempt.instance, describeNotRun(result.reason),
                           std::to_string(m_parts.directory.size())});
-    m_sends += reached ? 1 : 0;
+    if (reached) {
+        noteReached(attempt.instance);
+    }
     if (hasOpenAttempt()) {
         return;
     }
-    const bool allowed = result.reason != NotRunReason::TooLate && m_moves < MostMoves && (!reached || mayRepeat());
+    const bool final = result.reason == NotRunReason::TooLate || result.reason == NotRunReason::SuspectedOfCrash;
+    const bool allowed = !final && m_moves < MostMoves && (!reached || mayRepeat());
     ++m_moves;
     if (!allowed || m_parts.clock.now() + LeastRemaining > m_deadline || !sendNext()) {
         conclude();
@@ -222,6 +258,7 @@
     m_parts.placement.ended(attempt.instance, m_route->name, result.nodeLost ? PlacementOutcome::Unreachable : PlacementOutcome::Failed,
                             m_parts.clock.now() - attempt.started);
     ++m_sends;
+    noteReached(attempt.instance);
     m_mayHaveRun = true;
     if (hasOpenAttempt()) {
         return;
@@ -236,7 +273,8 @@
     if (m_mayHaveRun && m_route->kind == RequestKind::NonIdempotent) {
         return false;
     }
-    if (m_sends >= m_route->maxAttempts || m_parts.clock.now() + LeastRemaining > m_deadline || !m_parts.retries.take(m_service)) {
+    if (m_sends >= m_route->maxAttempts || m_parts.clock.now() + LeastRemaining > m_deadline
+        || !m_parts.retries.take(m_service, m_priority)) {
         return false;
     }
     m_parts.metrics.count(RelayCounter::Repeats);
@@ -279,7 +317,7 @@
     }
     if (now >= m_hedgeAt) {
         m_hedgeAt = TimePoint::max();
-        if (mayHedge() && m_parts.retries.take(m_service) && sendNext()) {
+        if (mayHedge() && m_parts.retries.take(m_service, m_priority) && sendNext()) {
             m_parts.metrics.count(RelayCounter::Hedges);
         }
     }
--- a/src/relay/relaycall.h
+++ b/src/relay/relaycall.h
@@ -45,7 +45,10 @@
     bool admit();
     // Sends the request to the best instance that was not tried. False if there is none.
     bool sendNext();
+    // Sends the request once more to an instance that did not run it, because it may not be sent to further ones.
+    bool sendAgain();
     void sendTo(const Instance &instance);
+    void noteReached(const std::string &instance);
     void ended(std::size_t index, AttemptOutcome outcome);
     void on(const Attempt &attempt, ServerAnswer &answer);
     void on(const Attempt &attempt, const NotRun &result);
@@ -86,7 +89,9 @@
     std::vector<std::string> m_tried;
     // Failure of an instance that is passed on if no other attempt succeeds.
     std::optional<HttpResponse> m_failure;
-    // Sends that reached an instance, as far as is known.
+    // Instances that were reached, whether they ran the request or not.
+    std::vector<std::string> m_reached;
+    // Sends that an instance ran or may have run.
     unsigned m_sends = 0;
     unsigned m_moves = 0;
     bool m_mayHaveRun = false;
--- a/src/relay/relayparts.h
+++ b/src/relay/relayparts.h
@@ -1,11 +1,12 @@
 #pragma once
 
 #include "core/base/random.h"
+#include "core/crashguard/crashguard.h"
 #include "core/relay/edgeadmission.h"
 #include "core/relay/instancedirectory.h"
 #include "core/relay/placement.h"
-#include "core/relay/responsetime.h"
 #include "core/relay/retrybudget.h"
+#include "core/relay/routeoutcomes.h"
 #include "core/relay/routepressure.h"
 #include "core/relay/routetable.h"
 #include "core/relay/runningrequests.h"
@@ -37,6 +38,7 @@
         , pressure(clock)
         , running(clock)
         , queue(settings.serving, clock)
+        , crashGuard({.self = NodeId(settings.node), .incarnation = settings.incarnation}, clock)
     {
     }
 
@@ -55,8 +57,9 @@
     RoutePressure pressure;
     RunningRequests running;
     ServingQueue queue;
+    CrashGuard crashGuard;
     WeightedSplit split;
-    ResponseTime responseTime;
+    RouteOutcomes outcomes;
     // Address at which other nodes reach this one.
     std::string ownPeerAddress;
     // Called when a node at the given address has a newer configuration in force.
--- a/src/relay/relayrequest.h
+++ b/src/relay/relayrequest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/base/clock.h"
+#include "core/base/hashing.h"
 #include "core/relay/route.h"
 #include "net/httpmessage.h"
 
@@ -31,6 +32,12 @@
     std::string sender;
     // Service of the host on which the request began.
     std::string callerService;
+
+    // Equal for all sends of a request, whoever sends them.
+    RequestKey fingerprint() const
+    {
+        return hashParts({http->method, http->headers.find("host"), http->target, http->body});
+    }
 };
 
 } // namespace wisteriafork
--- a/src/relay/relaysettings.h
+++ b/src/relay/relaysettings.h
@@ -33,6 +33,8 @@
     // Time between the signal to stop and the moment at which the process is killed.
     std::chrono::milliseconds stopGrace{6000};
     std::uint64_t seed = 1;
+    // Grows with each start of the process.
+    Incarnation incarnation = 0;
     EdgeAdmissionOptions admission;
     InstanceDirectoryOptions directory;
     PlacementOptions placement;
--- a/src/relay/servinggateway.cpp
+++ b/src/relay/servinggateway.cpp
@@ -77,6 +77,7 @@
     }
     if (call.running) {
         call.exchange->cancel();
+        m_parts.crashGuard.abandoned(id);
         m_parts.queue.finish(id, false);
         m_parts.running.ended(requestId(call.request));
     } else {
@@ -111,6 +112,14 @@
 void ServingGateway::start(CallId id)
 {
     Call &call = m_calls.at(id);
+    const CrashVerdict verdict = m_parts.crashGuard.start(id, call.request.fingerprint());
+    if (verdict == CrashVerdict::Refuse || verdict == CrashVerdict::Wait) {
+        // A suspect beside another one would make it unclear which of them crashes the backend server; it is sent elsewhere.
+        const NotRunReason reason = verdict == CrashVerdict::Refuse ? NotRunReason::SuspectedOfCrash : NotRunReason::Overloaded;
+        m_parts.queue.finish(id, false);
+        asio::post(m_parts.context, [this, id, reason] { finish(id, {.result = NotRun{.reason = reason}}); });
+        return;
+    }
     const HeaderNames &names = m_parts.settings.headers;
     const auto left = std::chrono::floor<std::chrono::milliseconds>(call.request.deadline - m_parts.clock.now());
     HttpHeaders extra;
@@ -131,6 +140,7 @@
     if (found == m_calls.end()) {
         return;
     }
+    noteForCrashGuard(id, result);
     if (result) {
         learnSlots(result->headers.find(m_parts.settings.headers.instanceLoad));
         result->headers.remove(m_parts.settings.headers.instanceLoad);
@@ -150,6 +160,18 @@
     poll();
 }
 
+void ServingGateway::noteForCrashGuard(CallId id, const tl::expected<HttpResponse, ExchangeError> &result)
+{
+    if (result) {
+        m_parts.crashGuard.completed(id);
+    } else if (result.error() == ExchangeError::NotSent) {
+        m_parts.crashGuard.abandoned(id);
+        m_parts.crashGuard.connectionRefused();
+    } else {
+        m_parts.crashGuard.connectionBroken(id);
+    }
+}
+
 AttemptOutcome ServingGateway::evaluate(tl::expected<HttpResponse, ExchangeError> result) const
 {
     if (!result) {
--- a/src/relay/servinggateway.h
+++ b/src/relay/servinggateway.h
@@ -44,6 +44,7 @@
 
     void start(CallId id);
     void answered(CallId id, tl::expected<HttpResponse, ExchangeError> result);
+    void noteForCrashGuard(CallId id, const tl::expected<HttpResponse, ExchangeError> &result);
     AttemptOutcome evaluate(tl::expected<HttpResponse, ExchangeError> result) const;
     void finish(CallId id, AttemptOutcome outcome);
     std::string requestId(const RelayRequest &request) const;
--- a/tests/relay/budgetandsplit_test.cpp
+++ b/tests/relay/budgetandsplit_test.cpp
@@ -46,6 +46,32 @@
     CHECK(takeAll() <= 3);
 }
 
+TEST(RetryBudget, ScarceRepeatsGoToBookings)
+{
+    takeAll();
+    int reads = 0;
+    int bookings = 0;
+    for (int i = 0; i < 1000; ++i) {
+        budget.firstSend(service);
+        reads += budget.take(service, 2) ? 1 : 0;
+        bookings += budget.take(service, 0) ? 1 : 0;
+    }
+
+    LONGS_EQUAL(0, reads);
+    CHECK(bookings > 100);
+}
+
+TEST(RetryBudget, ReadsAreRepeatedWhenFewCallsFail)
+{
+    int reads = 0;
+    for (int i = 0; i < 1000; ++i) {
+        budget.firstSend(service);
+        reads += i % 20 == 0 && budget.take(service, 2) ? 1 : 0;
+    }
+
+    LONGS_EQUAL(50, reads);
+}
+
 TEST(RetryBudget, CallsOfARepeatedRunUseUpTheBudgetOfTheServiceBehind)
 {
     for (int i = 0; i < 5; ++i) {
