Keep an instance reachable until its stopping node has no callers left

Now callers are told to stay away first while everything is served, then other nodes, and the process ends when what it has taken is answered. Ruled out: slow requests, since the nodes were idle after 3 s.

Test: an instance can be reached while its node tells callers to stay away.

--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -22,6 +22,10 @@
 constexpr std::chrono::milliseconds TickInterval{100};
 // Time after the signal to stop for which callers may still come: they are told to stay away by two readiness checks, one a second.
 constexpr std::chrono::milliseconds StopNotice{2300};
+// Time in which other nodes learn that this one leaves and what they have sent before arrives: some round trips between failure domains.
+constexpr std::chrono::milliseconds LeavingTime{150};
+// Time for unused connections of callers to be closed in order.
+constexpr std::chrono::milliseconds ClosingTime{700};
 // Time before the process is killed at which it ends by itself.
 constexpr std::chrono::milliseconds StopReserve{400};
 constexpr unsigned TicksPerLoadLine = 10;
@@ -49,6 +53,12 @@
 class Relay::Private
 {
 public:
+    enum class StopPhase : std::uint8_t {
+        Notice,
+        Leaving,
+        Closing,
+    };
+
     Private(asio::io_context &context, RelaySettings settings, EventLog &log, Callbacks callbacks)
         : parts(context, std::move(settings), clock, log)
         , serving(parts)
@@ -124,22 +134,38 @@
                          pressure, std::to_string(callers.openCount())});
     }
 
+    // Callers are told to stay away first, while everything is served as before, so that the instance can be reached until the last moment.
+    // Then other nodes are told, and the process ends as soon as what it has taken is answered.
     void checkStop()
     {
-        const Duration since = clock.now() - stopStarted;
+        const TimePoint now = clock.now();
         const bool idle = callers.isIdle() && serving.isIdle();
-        const bool noticed = since >= StopNotice;
-        if (noticed && !listenerStopped) {
-            listenerStopped = true;
+        if (now - stopStarted >= parts.settings.stopGrace - StopReserve) {
+            endStop();
+        } else if (stopPhase == StopPhase::Notice && now - stopStarted >= StopNotice) {
+            enterStopPhase(StopPhase::Leaving);
+            parts.leaving = true;
+            peerServer.stop();
+            callerServer.closeAfterAnswers();
+        } else if (stopPhase == StopPhase::Leaving && idle && now - phaseStarted >= LeavingTime) {
+            enterStopPhase(StopPhase::Closing);
             callerServer.stop();
+        } else if (stopPhase == StopPhase::Closing && idle && (callerServer.connectionCount() == 0 || now - phaseStarted >= ClosingTime)) {
+            endStop();
         }
-        const bool closed = callerServer.connectionCount() == 0 && peerServer.sessionCount() == 0;
-        const bool atBound = since >= parts.settings.stopGrace - StopReserve;
-        if ((noticed && idle && closed) || atBound) {
-            parts.log.write(EventNumber::DrainFinished,
-                            {"0", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(since).count())});
-            finish();
-        }
+    }
+
+    void enterStopPhase(StopPhase phase)
+    {
+        stopPhase = phase;
+        phaseStarted = clock.now();
+    }
+
+    void endStop()
+    {
+        const Duration took = clock.now() - stopStarted;
+        parts.log.write(EventNumber::DrainFinished, {"0", std::to_string(std::chrono::duration_cast<std::chrono::seconds>(took).count())});
+        finish();
     }
 
     void finish()
@@ -168,7 +194,8 @@
     RepeatingTimer tickTimer;
     std::function<void()> stopped;
     TimePoint stopStarted;
-    bool listenerStopped = false;
+    TimePoint phaseStarted;
+    StopPhase stopPhase = StopPhase::Notice;
     bool lost = false;
     unsigned ticks = 0;
 };
@@ -266,7 +293,6 @@
     d->stopped = std::move(stopped);
     d->stopStarted = d->clock.now();
     d->parts.log.write(EventNumber::DrainStarted, {"signal"});
-    d->peerServer.stop();
 }
 
 } // namespace wisteriafork
--- a/src/relay/relayparts.h
+++ b/src/relay/relayparts.h
@@ -64,7 +64,10 @@
     std::string ownPeerAddress;
     // Called when a node at the given address has a newer configuration in force.
     std::function<void(const std::string &peerAddress)> newerVersionSeen;
+    // The process was told to stop, and callers are to stay away.
     bool stopping = false;
+    // Other nodes are to stay away, too.
+    bool leaving = false;
 
     std::uint64_t version() const
     {
--- a/src/relay/servinggateway.cpp
+++ b/src/relay/servinggateway.cpp
@@ -239,7 +239,7 @@
         report.pressure = std::max(report.pressure, m_parts.pressure.of(callee));
     }
     report.version = m_parts.version();
-    report.leaving = m_parts.stopping;
+    report.leaving = m_parts.leaving;
     return report;
 }
 
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -268,6 +268,15 @@
     CHECK_TEXT(stopped.get_future().wait_for(LongWait) == std::future_status::ready, "the node does not stop");
 }
 
+TEST(Relay, AnInstanceCanBeReachedWhileItsNodeTellsCallersToStayAway)
+{
+    back.run([this] { back.relay.stop([] {}); });
+
+    LONGS_EQUAL(200, ask("POST", "/book/1")->status);
+
+    LONGS_EQUAL(1, books.requests().size());
+}
+
 TEST(Relay, AnOlderConfigurationDoesNotReplaceANewerOne)
 {
     front.run([this] { front.relay.applyRoutes(RouteTable(0, {})); });
