--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -1,5 +1,7 @@
 #include "core/relay/placement.h"
 
+#include "core/base/durationseconds.h"
+
 #include <algorithm>
 #include <cmath>
 #include <random>
@@ -14,11 +16,6 @@
 // Cost of an instance that must not be used unless there is no other.
 constexpr double Unusable = 1000.0;
 
-double seconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 } // namespace
 
 Placement::Placement(const PlacementOptions &options, DomainId ownDomain, const Clock &clock, RandomEngine &random)
@@ -94,7 +91,7 @@
     if (outcome == PlacementOutcome::Answered) {
         Latency &latency = state.latencies[route];
         const double weight = std::max(LatencyWeight, 1.0 - weightOf(latency.updated));
-        latency.seconds += weight * (seconds(elapsed) - latency.seconds);
+        latency.seconds += weight * (toSeconds(elapsed) - latency.seconds);
         latency.updated = now;
     }
 }
@@ -121,7 +118,7 @@
 
 double Placement::cost(const Instance &instance, const std::string &route, Duration targetLatency, double leastFailures, double noise) const
 {
-    const double target = seconds(targetLatency);
+    const double target = toSeconds(targetLatency);
     double total = instance.domain == m_ownDomain ? 0.0 : m_options.domainCost * target;
     const auto found = m_states.find(instance.id);
     if (found == m_states.end()) {
@@ -136,17 +133,17 @@
         total += std::max(0.0, known->second.seconds - free) * weightOf(known->second.updated);
     }
     const double failures = state.failures * weightOf(state.failureUpdated) - leastFailures - m_options.freeFailures;
-    return total + noise * waitAt(state) + m_options.failureCost * target * std::max(0.0, failures);
+    return total + noise * waitAt(instance, state) + m_options.failureCost * target * std::max(0.0, failures);
 }
 
-double Placement::waitAt(const State &state) const
+double Placement::waitAt(const Instance &instance, const State &state) const
 {
     if (state.report.limit == 0) {
         return 0.0;
     }
     const double occupied = state.others * weightOf(state.reported) + state.outstanding;
-    const double limit = state.report.limit;
-    return std::max(0.0, occupied + 1.0 - limit) / limit * seconds(state.report.holdingTime);
+    const double limit = state.report.limit * (m_clock.now() < instance.coldUntil ? m_options.coldShare : 1.0);
+    return std::max(0.0, occupied + 1.0 - limit) / limit * toSeconds(state.report.holdingTime);
 }
 
 double Placement::weightOf(TimePoint updated) const
--- a/src/core/relay/placement.h
+++ b/src/core/relay/placement.h
@@ -18,6 +18,8 @@
     // Extra waiting time, in parts of the target latency, that a call may take before it leaves its failure domain: bytes between failure
     // domains are expensive. It is less than the round trip to another one takes at most twice (20 ms) for the shortest targets (300 ms).
     double domainCost = 0.04;
+    // Part of its slots that an instance can use while it is slow after its start; it then takes about twice as long.
+    double coldShare = 0.5;
     // Extra time of an instance whose calls all fail, in parts of the target latency.
     double failureCost = 4.0;
     // Share of failed calls above that of the best instance up to which failures do not count: those that come from the services behind
@@ -94,7 +96,7 @@
     // Expected time of a call in seconds, with the penalties of the options.
     // `leastFailures` is the failure share of the best candidate.
     double cost(const Instance &instance, const std::string &route, Duration targetLatency, double leastFailures, double noise) const;
-    double waitAt(const State &state) const;
+    double waitAt(const Instance &instance, const State &state) const;
     double weightOf(TimePoint updated) const;
 
     const PlacementOptions m_options;
--- a/src/core/relay/routeoutcomes.cpp
+++ b/src/core/relay/routeoutcomes.cpp
@@ -1,5 +1,7 @@
 #include "core/relay/routeoutcomes.h"
 
+#include "core/base/durationseconds.h"
+
 #include <cmath>
 
 namespace wisteriafork {
@@ -23,7 +25,7 @@
 {
     Estimate &estimate = m_routes[route];
     estimate.failures -= FailureWeight * estimate.failures;
-    const double seconds = std::chrono::duration<double>(time).count();
+    const double seconds = toSeconds(time);
     if (estimate.samples++ == 0) {
         estimate.mean = seconds;
         estimate.deviation = seconds / 2;
@@ -52,7 +54,7 @@
         return Duration(0);
     }
     const double seconds = std::max(LeastSeconds, found->second.mean + Deviations * found->second.deviation);
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    return fromSeconds(seconds);
 }
 
 } // namespace wisteriafork
--- a/src/core/relay/servingqueue.cpp
+++ b/src/core/relay/servingqueue.cpp
@@ -1,5 +1,7 @@
 #include "core/relay/servingqueue.h"
 
+#include "core/base/durationseconds.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -15,16 +17,6 @@
 // Relative wait that a request counts for which has waited until it was too late.
 constexpr double LateWait = 10.0;
 
-double seconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
-Duration fromSeconds(double value)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
-}
-
 } // namespace
 
 ServingQueue::ServingQueue(const ServingQueueOptions &options, const Clock &clock)
@@ -51,12 +43,12 @@
         return ServingVerdict::Start;
     }
     const bool sheddable = !request.inner && request.priority > 0;
-    if (sheddable && seconds(wait) > m_options.waitShare * seconds(request.targetLatency)) {
+    if (sheddable && toSeconds(wait) > m_options.waitShare * toSeconds(request.targetLatency)) {
         return ServingVerdict::RefuseOverload;
     }
     m_waiting[rank].push_back({.request = request, .arrived = now});
     m_rankOf.emplace(request.id, rank);
-    m_waitingWork[rank] += seconds(holdingTime(request.route));
+    m_waitingWork[rank] += toSeconds(holdingTime(request.route));
     return ServingVerdict::Wait;
 }
 
@@ -67,7 +59,7 @@
         return;
     }
     if (completed) {
-        const double held = seconds(m_clock.now() - found->second.started);
+        const double held = toSeconds(m_clock.now() - found->second.started);
         const auto [known, added] = m_holding.emplace(found->second.route, held);
         known->second += HoldingWeight * (held - known->second);
         m_meanHolding += (m_meanHolding <= 0.0 ? 1.0 : MeanHoldingWeight) * (held - m_meanHolding);
@@ -84,7 +76,7 @@
     auto &list = m_waiting[known->second];
     const auto entry = std::ranges::find(list, id, [](const Waiting &waiting) { return waiting.request.id; });
     double &work = m_waitingWork[known->second];
-    work = list.size() == 1 ? 0.0 : std::max(0.0, work - seconds(holdingTime(entry->request.route)));
+    work = list.size() == 1 ? 0.0 : std::max(0.0, work - toSeconds(holdingTime(entry->request.route)));
     list.erase(entry);
     m_rankOf.erase(known);
     return true;
@@ -173,7 +165,7 @@
 
 double ServingQueue::relativeWait(const ServingRequest &request, Duration wait) const
 {
-    return seconds(wait) / std::max(1e-3, m_options.allowedWait * seconds(request.targetLatency));
+    return toSeconds(wait) / std::max(1e-3, m_options.allowedWait * toSeconds(request.targetLatency));
 }
 
 Duration ServingQueue::expectedWait(Rank rank) const
@@ -191,7 +183,7 @@
 bool ServingQueue::isTooLate(const ServingRequest &request, Duration wait) const
 {
     const double share = request.inner ? InnerShare : 1.0;
-    return m_clock.now() + wait + fromSeconds(share * seconds(holdingTime(request.route))) > request.deadline;
+    return m_clock.now() + wait + fromSeconds(share * toSeconds(holdingTime(request.route))) > request.deadline;
 }
 
 } // namespace wisteriafork
--- a/src/relay/relaycall.cpp
+++ b/src/relay/relaycall.cpp
@@ -1,10 +1,10 @@
 #include "relay/relaycall.h"
 
+#include "core/base/durationseconds.h"
 #include "core/base/hashing.h"
 #include "net/refusalresponse.h"
 
 #include <charconv>
-#include <cstdio>
 
 namespace wisteriafork {
 
@@ -19,25 +19,11 @@
 constexpr double InnerPlaceShare = 0.5;
 // Time that must be left for another attempt.
 constexpr Duration LeastRemaining = std::chrono::milliseconds(20);
-// Retry-After before the first configuration is known.
-constexpr Duration UnconfiguredRetryAfter = std::chrono::milliseconds(500);
 // Share of failed answers of a route above which a failure is not taken for one of the instance.
 constexpr double SystemicFailures = 0.3;
 // Pressure of a route above which slow answers are due to load and are not asked for a second time.
 constexpr double MostHedgePressure = 0.1;
 
-double seconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
-std::string secondsText(Duration duration)
-{
-    char text[32];
-    const int size = std::snprintf(text, sizeof(text), "%.3f", seconds(duration));
-    return {text, static_cast<std::size_t>(size)};
-}
-
 std::optional<std::chrono::milliseconds> deadlineOf(const HttpRequest &request, const std::string &field)
 {
     const std::string_view text = request.headers.find(field);
@@ -79,8 +65,8 @@
     } else {
         m_parts.retries.firstSend(m_service);
     }
-    const double share = m_inner ? InnerPlaceShare * seconds(m_deadline - m_arrived) : PlaceShare * seconds(m_route->targetLatency);
-    m_placeUntil = m_arrived + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(share));
+    const double share = m_inner ? InnerPlaceShare * toSeconds(m_deadline - m_arrived) : PlaceShare * toSeconds(m_route->targetLatency);
+    m_placeUntil = m_arrived + fromSeconds(share);
     if (!sendNext()) {
         m_waitsForInstance = true;
     }
@@ -91,10 +77,7 @@
     const HttpRequest &request = *m_exchange->request;
     m_routes = m_parts.routes;
     if (!m_routes) {
-        HttpResponse response = errorResponse(503, "no configuration is known yet");
-        response.headers.add("retry-after", secondsText(UnconfiguredRetryAfter));
-        m_parts.metrics.count(RelayCounter::NoRoute);
-        respond(std::move(response), "unconfigured");
+        refuseUnconfigured();
         return false;
     }
     m_route = m_routes->find(request.headers.find("host"), request.target);
@@ -332,68 +315,6 @@
     }
 }
 
-void RelayCall::conclude()
-{
-    if (m_failure) {
-        relay(std::move(*m_failure), RelayCounter::FailedByServer);
-    } else if (!m_mayHaveRun) {
-        m_parts.metrics.count(RelayCounter::RefusedLater);
-        refuse("not-run");
-    } else if (m_parts.clock.now() >= m_deadline) {
-        fail(504, RelayCounter::TimedOut, "timed-out");
-    } else {
-        fail(502, RelayCounter::OutcomeUnknown, "outcome-unknown");
-    }
-}
-
-void RelayCall::refuse(const char *reason)
-{
-    HttpResponse response = errorResponse(503, reason);
-    if (!m_inner) {
-        m_parts.admission.refusedLater(m_identity);
-        const double spread = std::uniform_real_distribution<double>()(m_parts.random);
-        response.headers.add("retry-after", secondsText(m_parts.admission.retryAfter(m_route->targetLatency, spread)));
-    }
-    respond(std::move(response), reason);
-}
-
-void RelayCall::relay(HttpResponse response, RelayCounter counter)
-{
-    m_parts.metrics.count(counter);
-    const std::string &idField = m_parts.settings.headers.requestId;
-    if (!response.headers.contains(idField)) {
-        response.headers.add(idField, std::string(requestId()));
-    }
-    respond(std::move(response), counter == RelayCounter::Succeeded ? "succeeded" : "failed-by-server");
-}
-
-void RelayCall::fail(unsigned status, RelayCounter counter, const char *reason)
-{
-    m_parts.metrics.count(counter);
-    respond(errorResponse(status, reason), reason);
-}
-
-void RelayCall::respond(HttpResponse response, const char *event)
-{
-    m_finished = true;
-    cancelAttempts();
-    const bool ordinary = response.status < 500;
-    if (ordinary) {
-        m_parts.metrics.answered(elapsed());
-    }
-    if (m_parts.log.accepts(ordinary)) {
-        m_parts.log.decision(
-            EventNumber::RelayAnswered, ordinary,
-            {std::string(requestId()), m_route == nullptr ? std::string() : m_route->name, m_tried.empty() ? std::string() : m_tried.back(),
-             event, std::to_string(response.status), secondsText(elapsed()), std::to_string(m_attempts.size()),
-             m_route == nullptr
-                 ? std::string()
-                 : secondsText(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(m_parts.pressure.of(m_route->name)))),
-             std::to_string(m_routes ? m_routes->version() : 0), m_inner ? "inner" : m_exchange->remoteAddress});
-    }
-    m_exchange->respond(std::move(response));
-}
-
 void RelayCall::cancelAttempts()
 {
     for (Attempt &attempt : m_attempts) {
--- a/src/relay/relaycall.h
+++ b/src/relay/relaycall.h
@@ -59,6 +59,7 @@
     // Nothing more can be tried: gives the answer that is true for what has happened.
     void conclude();
     void refuse(const char *reason);
+    void refuseUnconfigured();
     void relay(HttpResponse response, RelayCounter counter);
     void fail(unsigned status, RelayCounter counter, const char *reason);
     void respond(HttpResponse response, const char *event);
--- /dev/null
+++ b/src/relay/relaycallanswers.cpp
@@ -0,0 +1,95 @@
+#include "core/base/durationseconds.h"
+#include "net/refusalresponse.h"
+#include "relay/relaycall.h"
+
+#include <cstdio>
+#include <random>
+
+// The answers of a call; what leads to them is in relaycall.cpp.
+
+namespace wisteriafork {
+
+namespace {
+
+// Retry-After before the first configuration is known.
+constexpr Duration UnconfiguredRetryAfter = std::chrono::milliseconds(500);
+constexpr unsigned ServerErrorStatus = 500;
+
+std::string decimalText(double value)
+{
+    char text[32];
+    const int size = std::snprintf(text, sizeof(text), "%.3f", value);
+    return {text, static_cast<std::size_t>(size)};
+}
+
+} // namespace
+
+void RelayCall::conclude()
+{
+    if (m_failure) {
+        relay(std::move(*m_failure), RelayCounter::FailedByServer);
+    } else if (!m_mayHaveRun) {
+        m_parts.metrics.count(RelayCounter::RefusedLater);
+        refuse("not-run");
+    } else if (m_parts.clock.now() >= m_deadline) {
+        fail(504, RelayCounter::TimedOut, "timed-out");
+    } else {
+        fail(502, RelayCounter::OutcomeUnknown, "outcome-unknown");
+    }
+}
+
+void RelayCall::refuse(const char *reason)
+{
+    HttpResponse response = errorResponse(503, reason);
+    if (!m_inner) {
+        m_parts.admission.refusedLater(m_identity);
+        const double spread = std::uniform_real_distribution<double>()(m_parts.random);
+        response.headers.add("retry-after", decimalText(toSeconds(m_parts.admission.retryAfter(m_route->targetLatency, spread))));
+    }
+    respond(std::move(response), reason);
+}
+
+void RelayCall::relay(HttpResponse response, RelayCounter counter)
+{
+    m_parts.metrics.count(counter);
+    const std::string &idField = m_parts.settings.headers.requestId;
+    if (!response.headers.contains(idField)) {
+        response.headers.add(idField, std::string(requestId()));
+    }
+    respond(std::move(response), counter == RelayCounter::Succeeded ? "succeeded" : "failed-by-server");
+}
+
+void RelayCall::fail(unsigned status, RelayCounter counter, const char *reason)
+{
+    m_parts.metrics.count(counter);
+    respond(errorResponse(status, reason), reason);
+}
+
+void RelayCall::respond(HttpResponse response, const char *event)
+{
+    m_finished = true;
+    cancelAttempts();
+    const bool ordinary = response.status < ServerErrorStatus;
+    if (ordinary) {
+        m_parts.metrics.answered(elapsed());
+    }
+    if (m_parts.log.accepts(ordinary)) {
+        m_parts.log.decision(EventNumber::RelayAnswered, ordinary,
+                             {std::string(requestId()), m_route == nullptr ? std::string() : m_route->name,
+                              m_tried.empty() ? std::string() : m_tried.back(), event, std::to_string(response.status),
+                              decimalText(toSeconds(elapsed())), std::to_string(m_attempts.size()),
+                              m_route == nullptr ? std::string() : decimalText(m_parts.pressure.of(m_route->name)),
+                              std::to_string(m_routes ? m_routes->version() : 0), m_inner ? "inner" : m_exchange->remoteAddress});
+    }
+    m_exchange->respond(std::move(response));
+}
+
+void RelayCall::refuseUnconfigured()
+{
+    HttpResponse response = errorResponse(503, "no configuration is known yet");
+    response.headers.add("retry-after", decimalText(toSeconds(UnconfiguredRetryAfter)));
+    m_parts.metrics.count(RelayCounter::NoRoute);
+    respond(std::move(response), "unconfigured");
+}
+
+} // namespace wisteriafork
--- a/src/relay/relaymetrics.cpp
+++ b/src/relay/relaymetrics.cpp
@@ -1,5 +1,7 @@
 #include "relay/relaymetrics.h"
 
+#include "core/base/durationseconds.h"
+
 #include <sstream>
 #include <string_view>
 
@@ -13,11 +15,6 @@
     "caller_gone",     "repeats",     "hedges",    "served_for_peers", "refused_for_peers",
 };
 
-double seconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 template <typename Histogram>
 void writeHistogram(std::ostream &out, std::string_view name, const Histogram &histogram)
 {
@@ -46,12 +43,12 @@
 
 void RelayMetrics::answered(Duration time)
 {
-    m_answered(seconds(time));
+    m_answered(toSeconds(time));
 }
 
 void RelayMetrics::ran(Duration time)
 {
-    m_ran(seconds(time));
+    m_ran(toSeconds(time));
 }
 
 std::string RelayMetrics::text() const
--- a/tests/relay/placement_test.cpp
+++ b/tests/relay/placement_test.cpp
@@ -50,6 +50,16 @@
     STRCMP_EQUAL("far", choose().c_str());
 }
 
+TEST(Placement, AnInstanceThatIsSlowAfterItsStartGetsFewerCalls)
+{
+    placement.report("near", {.limit = 10, .running = 8, .queued = 0, .holdingTime = 1s});
+    STRCMP_EQUAL("near", choose().c_str());
+
+    instances[0].coldUntil = clock.now() + 3s;
+
+    STRCMP_EQUAL("far", choose().c_str());
+}
+
 TEST(Placement, OwnCallsInFlightCountBeforeAReportNamesThem)
 {
     placement.report("near", {.limit = 10, .running = 0, .queued = 0, .holdingTime = 100ms});
