Release the sends of a call with the call

Cause: a send keeps its handler after it is cancelled, and the handler keeps the call, so that each call whose caller left, or whose send was cancelled, stayed in memory for good. Found by LeakSanitizer in the tests of the relay (11,508 bytes in 65 allocations of one run). Ruled out: connections and exchanges, which were only held by the call. Now a send is released when it ends or is cancelled, and calls that are open when the node ends are given up.

--- a/src/relay/callerhandler.cpp
+++ b/src/relay/callerhandler.cpp
@@ -9,6 +9,13 @@
 {
 }
 
+CallerHandler::~CallerHandler()
+{
+    for (const auto &[tag, call] : m_calls) {
+        call->callerGone();
+    }
+}
+
 void CallerHandler::handleRequest(std::shared_ptr<ServerExchange> exchange)
 {
     exchange->tag = ++m_lastTag;
--- a/src/relay/callerhandler.h
+++ b/src/relay/callerhandler.h
@@ -16,6 +16,10 @@
 {
 public:
     CallerHandler(RelayParts &parts, ServingGateway &serving, PeerGateway &peers);
+    // Gives up the calls that are still open.
+    ~CallerHandler() override;
+    CallerHandler(const CallerHandler &) = delete;
+    CallerHandler &operator=(const CallerHandler &) = delete;
 
     void handleRequest(std::shared_ptr<ServerExchange> exchange) override;
     void handleGone(ServerExchange &exchange) override;
--- a/src/relay/relaycall.cpp
+++ b/src/relay/relaycall.cpp
@@ -176,6 +176,7 @@
         return;
     }
     m_attempts[index].open = false;
+    m_attempts[index].exchange.reset();
     const Attempt attempt = m_attempts[index];
     if (outcome.report) {
         m_parts.placement.report(attempt.instance, *outcome.report);
@@ -322,8 +323,9 @@
             continue;
         }
         m_parts.placement.ended(attempt.instance, m_route->name, PlacementOutcome::Abandoned, Duration(0));
-        if (attempt.exchange) {
-            attempt.exchange->cancel();
+        // Released as well: its handler keeps this call alive.
+        if (const std::shared_ptr<ClientExchange> exchange = std::exchange(attempt.exchange, nullptr)) {
+            exchange->cancel();
         } else {
             m_serving.cancel(attempt.local);
         }
