--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -140,7 +140,9 @@
     {
         const TimePoint now = clock.now();
         const bool idle = callers.isIdle() && serving.isIdle();
-        if (now - stopStarted >= parts.settings.stopGrace - StopReserve) {
+        const bool atBound = now - stopStarted >= parts.settings.stopGrace - StopReserve;
+        const bool closed = callerServer.connectionCount() == 0 || now - phaseStarted >= ClosingTime;
+        if (atBound || (stopPhase == StopPhase::Closing && idle && closed)) {
             endStop();
         } else if (stopPhase == StopPhase::Notice && now - stopStarted >= StopNotice) {
             enterStopPhase(StopPhase::Leaving);
@@ -150,8 +152,6 @@
         } else if (stopPhase == StopPhase::Leaving && idle && now - phaseStarted >= LeavingTime) {
             enterStopPhase(StopPhase::Closing);
             callerServer.stop();
-        } else if (stopPhase == StopPhase::Closing && idle && (callerServer.connectionCount() == 0 || now - phaseStarted >= ClosingTime)) {
-            endStop();
         }
     }
 
