--- a/src/relay/relaycall.cpp
+++ b/src/relay/relaycall.cpp
@@ -47,6 +47,10 @@
     if (!findRoute()) {
         return;
     }
+    if (m_parts.refusesCallers && !m_inner) {
+        refuse("stopping");
+        return;
+    }
     if (m_parts.crashGuard.suspectCount() > 0 && m_parts.crashGuard.banned(RelayRequest{.http = m_exchange->request}.fingerprint())) {
         refuse("suspected-of-crash");
         return;
--- a/src/relay/relayparts.h
+++ b/src/relay/relayparts.h
@@ -66,6 +66,8 @@
     std::function<void(const std::string &peerAddress)> newerVersionSeen;
     // The process was told to stop, and callers are to stay away.
     bool stopping = false;
+    // New requests of callers are refused, because they might not end before the process does.
+    bool refusesCallers = false;
     // Other nodes are to stay away, too.
     bool leaving = false;
 
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -277,6 +277,30 @@
     LONGS_EQUAL(1, books.requests().size());
 }
 
+TEST(Relay, AStoppingNodeRefusesCallersWhoseRequestsItCouldNotFinish)
+{
+    // A request that is still running keeps the node from stopping.
+    answer = [](ServerExchange &exchange) {
+        if (exchange.request->target != "/book/held") {
+            FakeInstance::succeed(exchange);
+        }
+    };
+    HttpClient client(running.context, {.server = front.settings.callers});
+    auto request = std::make_shared<HttpRequest>(HttpRequest{.method = "POST", .target = "/book/held"});
+    request->headers.add("host", "a.example");
+    request->headers.add("x-id", "77ae");
+    client.send(request, {}, [](const auto &) {});
+    CHECK(waitFor([&] { return !books.requests().empty(); }));
+
+    front.run([this] { front.relay.stop([] {}); });
+
+    CHECK_TEXT(waitFor([this] {
+                   const auto response = ask("POST", "/book/1");
+                   return response && response->status == 503 && !response->headers.find("retry-after").empty();
+               }),
+               "the node takes requests until it ends");
+}
+
 TEST(Relay, AnOlderConfigurationDoesNotReplaceANewerOne)
 {
     front.run([this] { front.relay.applyRoutes(RouteTable(0, {})); });
