--- a/tests/relay/relayheaders_test.cpp
+++ b/tests/relay/relayheaders_test.cpp
@@ -1,5 +1,7 @@
 #include "relay/relayheaders.h"
 
+#include "relaysetup.h"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace wisteriafork;
@@ -7,14 +9,7 @@
 
 TEST_GROUP(RelayHeaders)
 {
-    const HeaderNames names{.requestId = "x-id",
-                            .deadline = "x-deadline",
-                            .seal = "x-seal",
-                            .expectedInstance = "x-expect",
-                            .callerService = "x-caller",
-                            .instanceId = "x-instance",
-                            .notExecuted = "x-not-executed",
-                            .instanceLoad = "x-load"};
+    const HeaderNames names = testHeaderNames();
     const TimePoint now{24h};
 
     // What the receiving node gets of a request and its fields.
