Test a call's promises in 20,000 random schedules

A call now sends through an interface, so that the local backend server and other nodes are one thing to it, and the test plays instances and callers in virtual time: lost answers, failures, refusals, late runs, callers that leave.

--- a/src/relay/callerhandler.cpp
+++ b/src/relay/callerhandler.cpp
@@ -4,8 +4,7 @@
 
 namespace wisteriafork {
 
-CallerHandler::CallerHandler(RelayParts &parts, ServingGateway &serving, PeerGateway &peers)
-    : m_parts(parts), m_serving(serving), m_peers(peers)
+CallerHandler::CallerHandler(RelayParts &parts, AttemptSender &sender) : m_parts(parts), m_sender(sender)
 {
 }
 
@@ -25,7 +24,7 @@
         exchange->request->headers.remove(idField);
         exchange->request->headers.add(idField, newRequestId(tag));
     }
-    auto call = std::make_shared<RelayCall>(m_parts, m_serving, m_peers, std::move(exchange));
+    auto call = std::make_shared<RelayCall>(m_parts, m_sender, std::move(exchange));
     call->start();
     if (!call->isFinished()) {
         m_calls.emplace(tag, std::move(call));
--- a/src/relay/callerhandler.h
+++ b/src/relay/callerhandler.h
@@ -1,10 +1,9 @@
 #pragma once
 
 #include "net/serverexchange.h"
-#include "relay/peergateway.h"
 #include "relay/relaycall.h"
 #include "relay/relayparts.h"
-#include "relay/servinggateway.h"
+#include "relay/attemptsender.h"
 
 #include <memory>
 #include <unordered_map>
@@ -15,7 +14,7 @@
 class CallerHandler : public ServerHandler
 {
 public:
-    CallerHandler(RelayParts &parts, ServingGateway &serving, PeerGateway &peers);
+    CallerHandler(RelayParts &parts, AttemptSender &sender);
     // Gives up the calls that are still open.
     ~CallerHandler() override;
     CallerHandler(const CallerHandler &) = delete;
@@ -41,8 +40,7 @@
     std::string newRequestId(std::uint64_t tag) const;
 
     RelayParts &m_parts;
-    ServingGateway &m_serving;
-    PeerGateway &m_peers;
+    AttemptSender &m_sender;
     std::unordered_map<std::uint64_t, std::shared_ptr<RelayCall>> m_calls;
     std::uint64_t m_lastTag = 0;
 };
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -6,8 +6,11 @@
 #include "net/repeatingtimer.h"
 #include "net/steadyclock.h"
 #include "relay/callerhandler.h"
+#include "relay/instancegateway.h"
+#include "relay/peergateway.h"
 #include "relay/peerhandler.h"
 #include "relay/readinesshandler.h"
+#include "relay/servinggateway.h"
 
 #include <cinttypes>
 #include <cstdio>
@@ -66,7 +69,8 @@
         : parts(context, std::move(settings), clock, log)
         , serving(parts)
         , peers(parts)
-        , callers(parts, serving, peers)
+        , instances(parts, serving, peers)
+        , callers(parts, instances)
         , peerHandler(parts, serving, std::move(callbacks.snapshot))
         , readiness([this] { return parts.routes != nullptr && !parts.stopping && !draining; }, [this] { return parts.metrics.text(); })
         , callerServer(context, callers, callerLimits())
@@ -188,6 +192,7 @@
     RelayParts parts;
     ServingGateway serving;
     PeerGateway peers;
+    InstanceGateway instances;
     CallerHandler callers;
     PeerHandler peerHandler;
     ReadinessHandler readiness;
--- a/src/relay/relaycall.cpp
+++ b/src/relay/relaycall.cpp
@@ -34,8 +34,8 @@
 
 } // namespace
 
-RelayCall::RelayCall(RelayParts &parts, ServingGateway &serving, PeerGateway &peers, std::shared_ptr<ServerExchange> exchange)
-    : m_parts(parts), m_serving(serving), m_peers(peers), m_exchange(std::move(exchange)), m_arrived(parts.clock.now())
+RelayCall::RelayCall(RelayParts &parts, AttemptSender &sender, std::shared_ptr<ServerExchange> exchange)
+    : m_parts(parts), m_sender(sender), m_exchange(std::move(exchange)), m_arrived(parts.clock.now())
 {
 }
 
@@ -150,7 +150,7 @@
 {
     const std::size_t index = m_attempts.size();
     const bool repeat = m_repeat || !m_reached.empty() || hasOpenAttempt();
-    m_attempts.push_back({.instance = instance.id, .peerAddress = instance.peerAddress, .started = m_parts.clock.now()});
+    m_attempts.push_back({{.instance = instance.id, .peerAddress = instance.peerAddress, .started = m_parts.clock.now()}, nullptr});
     m_tried.push_back(instance.id);
     m_parts.placement.sent(instance.id);
     const Duration unusual = m_parts.outcomes.unusualTime(m_route->name);
@@ -170,11 +170,7 @@
     auto handler = [self = shared_from_this(), index](AttemptOutcome outcome) {
         self->ended(index, std::move(outcome));
     };
-    if (instance.peerAddress == m_parts.ownPeerAddress) {
-        m_attempts[index].local = m_serving.serve(std::move(request), std::move(handler));
-    } else {
-        m_attempts[index].exchange = m_peers.send(instance.peerAddress, request, std::move(handler));
-    }
+    m_attempts[index].sent = m_sender.send(instance, std::move(request), std::move(handler));
 }
 
 void RelayCall::ended(std::size_t index, AttemptOutcome outcome)
@@ -183,8 +179,10 @@
         return;
     }
     m_attempts[index].open = false;
-    m_attempts[index].exchange.reset();
-    const Attempt attempt = m_attempts[index];
+    m_attempts[index].sent.reset();
+    // Copied, because another attempt may follow while it is looked at.
+    const EndedAttempt attempt{
+        .instance = m_attempts[index].instance, .peerAddress = m_attempts[index].peerAddress, .started = m_attempts[index].started};
     if (outcome.report) {
         m_parts.placement.report(attempt.instance, *outcome.report);
         m_parts.pressure.report(m_route->name, outcome.report->pressure);
@@ -193,7 +191,7 @@
     std::visit([this, &attempt](auto &result) { on(attempt, result); }, outcome.result);
 }
 
-void RelayCall::on(const Attempt &attempt, ServerAnswer &answer)
+void RelayCall::on(const EndedAttempt &attempt, ServerAnswer &answer)
 {
     const Duration took = m_parts.clock.now() - attempt.started;
     const bool failed = answer.response.status >= 500;
@@ -218,7 +216,7 @@
     }
 }
 
-void RelayCall::on(const Attempt &attempt, const NotRun &result)
+void RelayCall::on(const EndedAttempt &attempt, const NotRun &result)
 {
     const bool reached = result.reason == NotRunReason::RefusedByServer;
     const bool unreachable = result.reason == NotRunReason::Unreachable || result.reason == NotRunReason::Leaving
@@ -244,7 +242,7 @@
     }
 }
 
-void RelayCall::on(const Attempt &attempt, const OutcomeUnknown &result)
+void RelayCall::on(const EndedAttempt &attempt, const OutcomeUnknown &result)
 {
     m_parts.placement.ended(attempt.instance, m_route->name, result.nodeLost ? PlacementOutcome::Unreachable : PlacementOutcome::Failed,
                             m_parts.clock.now() - attempt.started);
@@ -332,11 +330,8 @@
         }
         m_parts.placement.ended(attempt.instance, m_route->name, PlacementOutcome::Abandoned, Duration(0));
         // Released as well: its handler keeps this call alive.
-        if (const std::shared_ptr<ClientExchange> exchange = std::exchange(attempt.exchange, nullptr)) {
-            exchange->cancel();
-        } else {
-            m_serving.cancel(attempt.local);
-        }
+        const std::unique_ptr<SentAttempt> sent = std::move(attempt.sent);
+        sent->cancel();
     }
 }
 
--- a/src/relay/relaycall.h
+++ b/src/relay/relaycall.h
@@ -2,9 +2,8 @@
 
 #include "net/serverexchange.h"
 #include "relay/attemptoutcome.h"
-#include "relay/peergateway.h"
+#include "relay/attemptsender.h"
 #include "relay/relayparts.h"
-#include "relay/servinggateway.h"
 
 #include <memory>
 #include <string>
@@ -17,7 +16,7 @@
 class RelayCall : public std::enable_shared_from_this<RelayCall>
 {
 public:
-    RelayCall(RelayParts &parts, ServingGateway &serving, PeerGateway &peers, std::shared_ptr<ServerExchange> exchange);
+    RelayCall(RelayParts &parts, AttemptSender &sender, std::shared_ptr<ServerExchange> exchange);
 
     void start();
     void callerGone();
@@ -30,14 +29,17 @@
     }
 
 private:
-    struct Attempt
+    struct EndedAttempt
     {
         std::string instance;
         std::string peerAddress;
         TimePoint started;
-        // Set for the local backend server and for another node, respectively.
-        CallId local = 0;
-        std::shared_ptr<ClientExchange> exchange;
+    };
+
+    struct Attempt : EndedAttempt
+    {
+        // Null once the attempt has ended.
+        std::unique_ptr<SentAttempt> sent;
         bool open = true;
     };
 
@@ -50,9 +52,9 @@
     void sendTo(const Instance &instance);
     void noteReached(const std::string &instance);
     void ended(std::size_t index, AttemptOutcome outcome);
-    void on(const Attempt &attempt, ServerAnswer &answer);
-    void on(const Attempt &attempt, const NotRun &result);
-    void on(const Attempt &attempt, const OutcomeUnknown &result);
+    void on(const EndedAttempt &attempt, ServerAnswer &answer);
+    void on(const EndedAttempt &attempt, const NotRun &result);
+    void on(const EndedAttempt &attempt, const OutcomeUnknown &result);
     bool mayRepeat();
     bool mayHedge() const;
     bool hasOpenAttempt() const;
@@ -73,8 +75,7 @@
     Duration elapsed() const;
 
     RelayParts &m_parts;
-    ServingGateway &m_serving;
-    PeerGateway &m_peers;
+    AttemptSender &m_sender;
     std::shared_ptr<ServerExchange> m_exchange;
     const TimePoint m_arrived;
     // Keeps the route alive.
--- /dev/null
+++ b/tests/relay/fakesender.h
@@ -0,0 +1,153 @@
+#pragma once
+
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "core/base/manualclock.h"
+#include "relay/attemptsender.h"
+
+namespace wisteriafork {
+
+// Plays the instances of a fleet in virtual time. What becomes of each attempt is drawn when it is sent; whether it runs is kept apart from
+// what its sender hears of it.
+class FakeSender : public AttemptSender
+{
+public:
+    FakeSender(const ManualClock &clock, std::mt19937_64 &random) : m_clock(clock), m_random(random)
+    {
+    }
+
+    std::unique_ptr<SentAttempt> send(const Instance &instance, RelayRequest request, AttemptHandler handler) override
+    {
+        const std::string id(request.http->headers.find("x-id"));
+        Attempt attempt = drawFate();
+        attempt.request = id;
+        attempt.handler = std::move(handler);
+        const std::uint64_t number = ++m_lastNumber;
+        sends[id].push_back(instance.id);
+        m_open.emplace(number, std::move(attempt));
+        return std::make_unique<Sent>(*this, number);
+    }
+
+    // Lets everything happen that is due.
+    void poll()
+    {
+        std::vector<std::uint64_t> due;
+        for (auto &[number, attempt] : m_open) {
+            if (attempt.runs && !attempt.hasRun && m_clock.now() >= attempt.runsAt) {
+                attempt.hasRun = true;
+                ++runs[attempt.request];
+            }
+            if (m_clock.now() >= attempt.endsAt) {
+                due.push_back(number);
+            }
+        }
+        for (const std::uint64_t number : due) {
+            const auto found = m_open.find(number);
+            if (found != m_open.end()) {
+                Attempt attempt = std::move(found->second);
+                m_open.erase(found);
+                if (attempt.handler) {
+                    attempt.handler(std::move(attempt.outcome));
+                }
+            }
+        }
+    }
+
+    bool isIdle() const
+    {
+        return m_open.empty();
+    }
+
+    // Instances to which each request was sent, and how often it ran.
+    std::map<std::string, std::vector<std::string>> sends;
+    std::map<std::string, unsigned> runs;
+
+private:
+    struct Attempt
+    {
+        std::string request;
+        bool runs = false;
+        bool hasRun = false;
+        TimePoint runsAt;
+        TimePoint endsAt;
+        AttemptOutcome outcome;
+        AttemptHandler handler;
+    };
+
+    class Sent : public SentAttempt
+    {
+    public:
+        Sent(FakeSender &sender, std::uint64_t number) : m_sender(sender), m_number(number)
+        {
+        }
+
+        void cancel() override
+        {
+            m_sender.cancel(m_number);
+        }
+
+    private:
+        FakeSender &m_sender;
+        const std::uint64_t m_number;
+    };
+
+    // A request that is on its way to run may run although its sender has given it up.
+    void cancel(std::uint64_t number)
+    {
+        const auto found = m_open.find(number);
+        if (found != m_open.end()) {
+            found->second.handler = nullptr;
+        }
+    }
+
+    std::chrono::milliseconds drawTime(int most)
+    {
+        return std::chrono::milliseconds(std::uniform_int_distribution<int>(0, most)(m_random));
+    }
+
+    Attempt drawFate()
+    {
+        Attempt attempt;
+        attempt.runsAt = m_clock.now() + drawTime(300);
+        attempt.endsAt = attempt.runsAt + drawTime(700);
+        attempt.outcome.report = ServingReport{.limit = 5, .pressure = drawTime(100).count() < 10 ? 0.5 : 0.0};
+        switch (std::uniform_int_distribution<int>(0, 9)(m_random)) {
+        case 0:
+            attempt.runs = true;
+            attempt.outcome.result = OutcomeUnknown{.nodeLost = true};
+            attempt.outcome.report.reset();
+            break;
+        case 1:
+            attempt.outcome.result = OutcomeUnknown{};
+            break;
+        case 2:
+            attempt.runs = true;
+            attempt.outcome.result = ServerAnswer{.response = {.status = 500}};
+            break;
+        case 3:
+            attempt.runs = true;
+            attempt.endsAt = m_clock.now() + std::chrono::hours(1);
+            break;
+        case 4:
+        case 5: {
+            const auto reason = static_cast<NotRunReason>(std::uniform_int_distribution<unsigned>(0, 6)(m_random));
+            attempt.outcome.result = NotRun{.reason = reason};
+            break;
+        }
+        default:
+            attempt.runs = true;
+            attempt.outcome.result = ServerAnswer{.response = {.status = 200}};
+        }
+        return attempt;
+    }
+
+    const ManualClock &m_clock;
+    std::mt19937_64 &m_random;
+    std::map<std::uint64_t, Attempt> m_open;
+    std::uint64_t m_lastNumber = 0;
+};
+
+} // namespace wisteriafork
--- /dev/null
+++ b/tests/relay/relaycall_test.cpp
@@ -0,0 +1,200 @@
+#include <map>
+#include <set>
+#include <sstream>
+#include <vector>
+
+#include "fakesender.h"
+#include "relay/callerhandler.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace wisteriafork;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Seeds begin here; the schedules of a test differ by their number only.
+constexpr std::uint64_t FirstSeed = 20261204;
+constexpr unsigned Schedules = 20'000;
+constexpr unsigned CallsPerSchedule = 12;
+constexpr std::chrono::milliseconds Step{20};
+constexpr Duration RouteTimeout = 1500ms;
+
+// What the caller of one request sees.
+struct CallerView
+{
+    unsigned answers = 0;
+    unsigned status = 0;
+    TimePoint arrived;
+    TimePoint answered;
+    bool gone = false;
+    bool idempotent = false;
+};
+
+class FakeExchange : public ServerExchange
+{
+public:
+    FakeExchange(const Clock &clock, CallerView &view) : m_clock(clock), m_view(view)
+    {
+    }
+
+    void respond(HttpResponse response) override
+    {
+        ++m_view.answers;
+        m_view.status = response.status;
+        m_view.answered = m_clock.now();
+    }
+
+private:
+    const Clock &m_clock;
+    CallerView &m_view;
+};
+
+Route route(const char *name, RequestKind kind, unsigned attempts)
+{
+    return {.name = name,
+            .host = "h",
+            .prefix = std::string("/") + name + "/",
+            .kind = kind,
+            .services = {{.service = ServiceId("s")}},
+            .timeout = RouteTimeout,
+            .targetLatency = 500ms,
+            .maxAttempts = attempts};
+}
+
+// One relay among instances that misbehave at random, with callers that leave at random.
+class Schedule
+{
+public:
+    explicit Schedule(std::uint64_t seed) : m_random(seed), m_log({.least = LogSeverity::Error}, m_output), m_sender(m_clock, m_random)
+    {
+        m_attempts = draw(1, 3);
+        m_parts.routes = std::make_shared<const RouteTable>(
+            1, std::vector{route("book", RequestKind::NonIdempotent, m_attempts), route("read", RequestKind::Idempotent, m_attempts)});
+        m_parts.ownPeerAddress = "own";
+        for (unsigned number = 0; number < draw(1, 6); ++number) {
+            const std::string id = "i" + std::to_string(number);
+            m_parts.directory.put({.id = id,
+                                   .service = ServiceId("s"),
+                                   .address = id + ":1",
+                                   .peerAddress = id + ":2",
+                                   .domain = DomainId(number % 2 == 0 ? "north" : "south"),
+                                   .slots = 5});
+        }
+    }
+
+    void run()
+    {
+        for (unsigned call = 0; call < CallsPerSchedule; ++call) {
+            begin(call);
+            for (unsigned steps = draw(0, 20); steps > 0; --steps) {
+                step();
+            }
+        }
+        for (unsigned steps = 0; steps < 120; ++steps) {
+            step();
+        }
+        // Attempts whose sender has given up may run until now.
+        m_clock.advance(2h);
+        m_sender.poll();
+    }
+
+    std::string firstProblem()
+    {
+        for (const auto &[id, view] : m_views) {
+            const std::string problem = judge(id, view);
+            if (!problem.empty()) {
+                return id + ": " + problem;
+            }
+        }
+        const double allowed = RetryBudgetOptions{}.ratio * CallsPerSchedule + RetryBudgetOptions{}.burst;
+        return static_cast<double>(m_repeats) > allowed ? "more repeats than the budget allows: " + std::to_string(m_repeats) : "";
+    }
+
+private:
+    unsigned draw(unsigned least, unsigned most)
+    {
+        return std::uniform_int_distribution<unsigned>(least, most)(m_random);
+    }
+
+    void begin(unsigned number)
+    {
+        const bool idempotent = draw(0, 1) == 0;
+        const std::string id = "r" + std::to_string(number);
+        CallerView &view = m_views[id];
+        view.arrived = m_clock.now();
+        view.idempotent = idempotent;
+        auto exchange = std::make_shared<FakeExchange>(m_clock, view);
+        exchange->request = std::make_shared<HttpRequest>();
+        exchange->request->method = "POST";
+        exchange->request->target = idempotent ? "/read/1" : "/book/1";
+        exchange->request->headers.add("host", "h");
+        exchange->request->headers.add("x-id", id);
+        m_callers.handleRequest(exchange);
+        m_exchanges.emplace(id, exchange);
+    }
+
+    void step()
+    {
+        m_clock.advance(Step);
+        m_sender.poll();
+        m_callers.wake();
+        if (draw(0, 200) == 0) {
+            const auto chosen = std::next(m_exchanges.begin(), draw(0, static_cast<unsigned>(m_exchanges.size()) - 1));
+            CallerView &view = m_views.at(chosen->first);
+            view.gone = view.gone || view.answers == 0;
+            m_callers.handleGone(*chosen->second);
+        }
+    }
+
+    std::string judge(const std::string &id, const CallerView &view)
+    {
+        const unsigned runs = m_sender.runs.contains(id) ? m_sender.runs.at(id) : 0;
+        const std::vector<std::string> sends = m_sender.sends.contains(id) ? m_sender.sends.at(id) : std::vector<std::string>();
+        if (view.answers > 1 || (view.answers == 0 && !view.gone)) {
+            return "answered " + std::to_string(view.answers) + " times";
+        }
+        if (!view.idempotent && runs > 1) {
+            return "a non-idempotent request ran " + std::to_string(runs) + " times";
+        }
+        if (view.status == 503 && runs > 0) {
+            return "refused, but it ran";
+        }
+        if (view.status == 200 && runs == 0) {
+            return "answered without a run";
+        }
+        if (view.answers == 1 && view.answered > view.arrived + RouteTimeout + Step) {
+            return "answered after the time-out of its route";
+        }
+        m_repeats += runs > 1 ? runs - 1 : 0;
+        return {};
+    }
+
+    std::mt19937_64 m_random;
+    ManualClock m_clock;
+    std::ostringstream m_output;
+    EventLog m_log;
+    asio::io_context m_context;
+    RelayParts m_parts{m_context, RelaySettings{.node = "n", .domain = DomainId("north"), .headers = {.requestId = "x-id"}}, m_clock, m_log};
+    FakeSender m_sender;
+    CallerHandler m_callers{m_parts, m_sender};
+    std::map<std::string, CallerView> m_views;
+    std::map<std::string, std::shared_ptr<FakeExchange>> m_exchanges;
+    unsigned m_attempts = 1;
+    unsigned m_repeats = 0;
+};
+
+} // namespace
+
+TEST_GROUP(RelayCall){};
+
+// Guards against a booking that runs twice, a refusal of what has run, a request without an answer, and repeats without bound.
+TEST(RelayCall, KeepsItsPromisesWhateverInstancesAndCallersDo)
+{
+    for (unsigned number = 0; number < Schedules; ++number) {
+        Schedule schedule(FirstSeed + number);
+        schedule.run();
+        const std::string problem = schedule.firstProblem();
+        CHECK_TEXT(problem.empty(), ("schedule " + std::to_string(number) + ", " + problem).c_str());
+    }
+}
