--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -112,8 +112,8 @@
 
     void readStop(ObjectReader &reader)
     {
-        const auto fallback = static_cast<std::uint64_t>(m_settings.relay.stopGrace.count());
-        m_settings.relay.stopGrace = std::chrono::milliseconds(reader.integer("graceMs", LeastStopGraceMs, MaxStopGraceMs, fallback));
+        const auto fallback = static_cast<std::uint64_t>(m_settings.relay.stop.grace.count());
+        m_settings.relay.stop.grace = std::chrono::milliseconds(reader.integer("graceMs", LeastStopGraceMs, MaxStopGraceMs, fallback));
     }
 
     void readLog(ObjectReader &reader)
--- a/src/relay/callerhandler.h
+++ b/src/relay/callerhandler.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "net/serverexchange.h"
+#include "relay/attemptsender.h"
 #include "relay/relaycall.h"
 #include "relay/relayparts.h"
-#include "relay/attemptsender.h"
 
 #include <memory>
 #include <unordered_map>
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -23,11 +23,6 @@
 // Calls end, and late answers are asked for again, at most this time after they are due.
 constexpr std::chrono::milliseconds WakeInterval{20};
 constexpr std::chrono::milliseconds TickInterval{100};
-// Time after the signal to stop for which callers may still come: they are told to stay away by two readiness checks, one a second.
-constexpr std::chrono::milliseconds StopNotice{2300};
-// Time after the signal from which callers that come all the same are refused: half of the usual time to stop (6 s), so that what was taken
-// before can end.
-constexpr std::chrono::milliseconds StopAccepting{3000};
 // Time in which other nodes learn that this one leaves and what they have sent before arrives: some round trips between failure domains.
 constexpr std::chrono::milliseconds LeavingTime{150};
 // Time for unused connections of callers to be closed in order.
@@ -148,12 +143,12 @@
     {
         const TimePoint now = clock.now();
         const bool idle = callers.isIdle() && serving.isIdle();
-        parts.refusesCallers = now - stopStarted >= StopAccepting;
-        const bool atBound = now - stopStarted >= parts.settings.stopGrace - StopReserve;
+        parts.refusesCallers = now - stopStarted >= parts.settings.stop.accepting;
+        const bool atBound = now - stopStarted >= parts.settings.stop.grace - StopReserve;
         const bool closed = callerServer.connectionCount() == 0 || now - phaseStarted >= ClosingTime;
         if (atBound || (stopPhase == StopPhase::Closing && idle && closed)) {
             endStop();
-        } else if (stopPhase == StopPhase::Notice && now - stopStarted >= StopNotice) {
+        } else if (stopPhase == StopPhase::Notice && now - stopStarted >= parts.settings.stop.notice) {
             enterStopPhase(StopPhase::Leaving);
             parts.leaving = true;
             peerServer.stop();
--- a/src/relay/relaysettings.h
+++ b/src/relay/relaysettings.h
@@ -9,8 +9,8 @@
 #include "net/asio.h"
 #include "net/tlscontext.h"
 #include "relay/headernames.h"
+#include "relay/stopoptions.h"
 
-#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -36,8 +36,7 @@
     bool serverEchoesIds = true;
     // Mutual authentication of the sessions between nodes; null means plain text.
     std::shared_ptr<const TlsContext> tls;
-    // Time between the signal to stop and the moment at which the process is killed.
-    std::chrono::milliseconds stopGrace{6000};
+    StopOptions stop;
     std::uint64_t seed = 1;
     // Grows with each start of the process.
     Incarnation incarnation = 0;
--- a/tests/daemon/settings_test.cpp
+++ b/tests/daemon/settings_test.cpp
@@ -39,7 +39,7 @@
     LONGS_EQUAL(8101, settings->relay.callers.port());
     LONGS_EQUAL(7101, settings->relay.peers.port());
     LONGS_EQUAL(9000, settings->relay.server.port());
-    CHECK(settings->relay.stopGrace == 9s);
+    CHECK(settings->relay.stop.grace == 9s);
     STRCMP_EQUAL("/etc/configuration.json", settings->configurationFile.c_str());
     STRCMP_EQUAL("/run/instances.json", settings->instancesFile.c_str());
     CHECK_FALSE(settings->tls.has_value());
--- a/tests/platform/publishedvalues_test.cpp
+++ b/tests/platform/publishedvalues_test.cpp
@@ -135,7 +135,7 @@
     STRCMP_EQUAL("n-1", settings->relay.node.c_str());
     LONGS_EQUAL(7620, settings->relay.peers.port());
     STRCMP_EQUAL("10.2.0.3:7620", settings->seeds.at(0).c_str());
-    CHECK(settings->relay.stopGrace == 5s);
+    CHECK(settings->relay.stop.grace == 5s);
 }
 
 TEST(PublishedValues, AllProblemsOfTheSettingsAreReportedTogether)
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -8,6 +8,14 @@
 namespace {
 
 constexpr auto LongWait = std::chrono::seconds(20);
+// A stop that stays in its first phase for as long as a test runs.
+constexpr StopOptions LongNotice{.grace = 2h, .notice = 1h, .accepting = 1h};
+// A stop that begins with the second phase.
+constexpr StopOptions ShortNotice{.grace = 2h, .notice = 0s, .accepting = 1h};
+// Longer than the phases that follow the first one, if nothing is under way.
+constexpr auto AllPhases = 1200ms;
+// As LongNotice, and callers are refused from the beginning.
+constexpr StopOptions RefusingNotice{.grace = 2h, .notice = 1h, .accepting = 0s};
 
 Route testRoute(const char *name, const char *prefix, RequestKind kind, Duration timeout = 10s)
 {
@@ -34,7 +42,7 @@
                        }};
     FakeInstance otherBooks{running.context, FakeInstance::succeed};
     RelayHost front{running.context, "front", "shop", shop};
-    RelayHost back{running.context, "back", "books", books};
+    RelayHost back{running.context, "back", "books", books, LongNotice};
     RelayHost spare{running.context, "spare", "books", otherBooks};
 
     void setup() override
@@ -64,7 +72,12 @@
     // Answer of the front host to a caller.
     tl::expected<HttpResponse, ExchangeError> ask(const char *method, const char *target, const char *host = "a.example")
     {
-        HttpClient client(running.context, {.server = front.settings.callers});
+        return askAt(front.settings.callers, method, target, host);
+    }
+
+    tl::expected<HttpResponse, ExchangeError> askAt(const Tcp::endpoint &callers, const char *method, const char *target, const char *host)
+    {
+        HttpClient client(running.context, {.server = callers});
         auto request = std::make_shared<HttpRequest>(HttpRequest{.method = method, .target = target, .body = "text"});
         request->headers.add("host", host);
         request->headers.add("x-id", "77aa");
@@ -247,10 +260,15 @@
 
 TEST(Relay, AStopLetsARunningRequestEndAndThenEndsTheNode)
 {
+    RelayHost stopping(running.context, "stopping", "shop", shop, ShortNotice);
+    stopping.run([&] {
+        stopping.relay.applyRoutes(RouteTable(1, {testRoute("book", "/book/", RequestKind::NonIdempotent)}));
+        stopping.relay.putInstance(back.instance("i-1"));
+    });
     std::promise<void> stopped;
     answer = [](ServerExchange &) {
     };
-    HttpClient client(running.context, {.server = front.settings.callers});
+    HttpClient client(running.context, {.server = stopping.settings.callers});
     auto request = std::make_shared<HttpRequest>(HttpRequest{.method = "POST", .target = "/book/1"});
     request->headers.add("host", "a.example");
     request->headers.add("x-id", "77ac");
@@ -259,18 +277,21 @@
                 [&](tl::expected<HttpResponse, ExchangeError> response) { status.set_value(response ? response->status : 0); });
     CHECK(waitFor([&] { return !books.requests().empty(); }));
 
-    front.run([&] { front.relay.stop([&] { stopped.set_value(); }); });
+    stopping.run([&] { stopping.relay.stop([&] { stopped.set_value(); }); });
+    std::this_thread::sleep_for(AllPhases);
     books.release();
 
     auto answered = status.get_future();
     CHECK(answered.wait_for(LongWait) == std::future_status::ready);
     LONGS_EQUAL(200, answered.get());
     CHECK_TEXT(stopped.get_future().wait_for(LongWait) == std::future_status::ready, "the node does not stop");
+    running.stop();
 }
 
 TEST(Relay, AnInstanceCanBeReachedWhileItsNodeTellsCallersToStayAway)
 {
     back.run([this] { back.relay.stop([] {}); });
+    std::this_thread::sleep_for(AllPhases);
 
     LONGS_EQUAL(200, ask("POST", "/book/1")->status);
 
@@ -279,26 +300,19 @@
 
 TEST(Relay, AStoppingNodeRefusesCallersWhoseRequestsItCouldNotFinish)
 {
-    // A request that is still running keeps the node from stopping.
-    answer = [](ServerExchange &exchange) {
-        if (exchange.request->target != "/book/held") {
-            FakeInstance::succeed(exchange);
-        }
-    };
-    HttpClient client(running.context, {.server = front.settings.callers});
-    auto request = std::make_shared<HttpRequest>(HttpRequest{.method = "POST", .target = "/book/held"});
-    request->headers.add("host", "a.example");
-    request->headers.add("x-id", "77ae");
-    client.send(request, {}, [](const auto &) {});
-    CHECK(waitFor([&] { return !books.requests().empty(); }));
-
-    front.run([this] { front.relay.stop([] {}); });
+    RelayHost stopping(running.context, "stopping", "shop", shop, RefusingNotice);
+    stopping.run([&] {
+        stopping.relay.applyRoutes(RouteTable(1, {testRoute("book", "/book/", RequestKind::NonIdempotent)}));
+        stopping.relay.putInstance(back.instance("i-1"));
+        stopping.relay.stop([] {});
+    });
 
-    CHECK_TEXT(waitFor([this] {
-                   const auto response = ask("POST", "/book/1");
-                   return response && response->status == 503 && !response->headers.find("retry-after").empty();
+    CHECK_TEXT(waitFor([&] {
+                   const auto response = askAt(stopping.settings.callers, "POST", "/book/1", "a.example");
+                   return response && response->status == 503 && response->body.find("stopping") != std::string::npos;
                }),
                "the node takes requests until it ends");
+    running.stop();
 }
 
 TEST(Relay, AnOlderConfigurationDoesNotReplaceANewerOne)
--- a/tests/relay/relaycall_test.cpp
+++ b/tests/relay/relaycall_test.cpp
@@ -175,7 +175,8 @@
     std::ostringstream m_output;
     EventLog m_log;
     asio::io_context m_context;
-    RelayParts m_parts{m_context, RelaySettings{.node = "n", .domain = DomainId("north"), .headers = {.requestId = "x-id"}}, m_clock, m_log};
+    RelayParts m_parts{m_context, RelaySettings{.node = "n", .domain = DomainId("north"), .headers = {.requestId = "x-id"}}, m_clock,
+                       m_log};
     FakeSender m_sender;
     CallerHandler m_callers{m_parts, m_sender};
     std::map<std::string, CallerView> m_views;
--- a/tests/relay/relaysetup.h
+++ b/tests/relay/relaysetup.h
@@ -117,7 +117,7 @@
 class RelayHost
 {
 public:
-    RelayHost(asio::io_context &context, const char *name, const char *service, const FakeInstance &instance)
+    RelayHost(asio::io_context &context, const char *name, const char *service, const FakeInstance &instance, const StopOptions &stop = {})
         : settings{.node = name,
                    .service = ServiceId(service),
                    .domain = DomainId("north"),
@@ -125,7 +125,8 @@
                    .peers = freeEndpoint(),
                    .readiness = freeEndpoint(),
                    .server = instance.address(),
-                   .headers = testHeaderNames()}
+                   .headers = testHeaderNames(),
+                   .stop = stop}
         , log(LogOptions{}, logText)
         , relay(context, settings, log,
                 {.snapshot =
