Give each relay of the tests endpoints that nothing else uses

Cause: relay_test ended twice with 'bind: Address already in use', once beside another test process and once alone. A port that was free when it was asked for can be given to an outgoing connection, or to the next question, before it is bound. Ports are now counted below the system's own range, on a loopback address of the process.

--- a/tests/relay/relaysetup.h
+++ b/tests/relay/relaysetup.h
@@ -5,10 +5,14 @@
 #include "observability/eventlog.h"
 #include "relay/relay.h"
 
+#include <atomic>
+#include <cstdint>
 #include <functional>
 #include <future>
 #include <sstream>
 
+#include <unistd.h>
+
 namespace wisteriafork {
 
 // Names of header fields that the tests use on both sides.
@@ -24,12 +28,21 @@
             .instanceLoad = "x-load"};
 }
 
-// A port of the loopback address that was free a moment ago.
+// A loopback address that no other test process uses.
+inline asio::ip::address_v4 ownLoopbackAddress()
+{
+    const auto process = static_cast<std::uint32_t>(::getpid());
+    constexpr std::uint32_t Network = 127U << 24U;
+    constexpr std::uint32_t HostBits = (1U << 22U) - 1;
+    return asio::ip::address_v4(Network | (1U << 23U) | ((process & HostBits) << 1U) | 1U);
+}
+
+// An endpoint that nothing else uses: ports are counted, and lie below those that the system gives to outgoing connections. A port that was
+// only free a moment ago may be given to someone else before it is used.
 inline Tcp::endpoint freeEndpoint()
 {
-    asio::io_context context;
-    asio::ip::tcp::acceptor acceptor(context, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    return acceptor.local_endpoint();
+    static std::atomic<std::uint16_t> lastPort = 10'000;
+    return {ownLoopbackAddress(), ++lastPort};
 }
 
 inline std::string endpointText(const Tcp::endpoint &endpoint)
