--- a/src/admin/accesstoken.h
+++ b/src/admin/accesstoken.h
@@ -27,8 +27,8 @@
     // The token itself, at least 16 characters.
     std::string secret;
     AccessRight right = AccessRight::Reader;
-    // Tenants whose outcomes the token may see. Empty means all tenants and everything that is not tied to a tenant.
-    std::vector<TenantId> tenants;
+    // Workspaces whose outcomes the token may see. Empty means all workspaces and everything that is not tied to a workspace.
+    std::vector<WorkspaceId> workspaces;
 };
 
 } // namespace wisteriafork
--- a/src/admin/adminhandler.cpp
+++ b/src/admin/adminhandler.cpp
@@ -49,34 +49,34 @@
     return result;
 }
 
-bool maySee(const AccessToken &token, const TenantId &tenant)
+bool maySee(const AccessToken &token, const WorkspaceId &workspace)
 {
-    return token.tenants.empty() || std::find(token.tenants.begin(), token.tenants.end(), tenant) != token.tenants.end();
+    return token.workspaces.empty() || std::find(token.workspaces.begin(), token.workspaces.end(), workspace) != token.workspaces.end();
 }
 
 } // namespace
 
-// The only query parameter of the API is the tenant of /v1/outcomes.
+// The only query parameter of the API is the workspace of /v1/outcomes.
 struct AdminHandler::Query
 {
-    std::optional<TenantId> tenant;
+    std::optional<WorkspaceId> workspace;
 
     // Empty if the query is malformed or has other parameters.
-    static std::optional<Query> parse(std::string_view text, bool takesTenant)
+    static std::optional<Query> parse(std::string_view text, bool takesWorkspace)
     {
         Query query;
         if (text.empty()) {
             return query;
         }
-        constexpr std::string_view name = "tenant=";
-        if (!takesTenant || !text.starts_with(name) || text.find('&') != std::string_view::npos) {
+        constexpr std::string_view name = "workspace=";
+        if (!takesWorkspace || !text.starts_with(name) || text.find('&') != std::string_view::npos) {
             return std::nullopt;
         }
         const auto value = percentDecoded(text.substr(name.size()));
         if (!value || value->empty()) {
             return std::nullopt;
         }
-        query.tenant = TenantId(*value);
+        query.workspace = WorkspaceId(*value);
         return query;
     }
 };
@@ -124,8 +124,8 @@
         response.headers.emplace_back("Allow", route->method);
     } else if (route->right == AccessRight::Operator && token->right != AccessRight::Operator) {
         response = errorResponse(403, "missing-right", "this needs operator rights");
-    } else if (!route->forLimitedTokens && !token->tenants.empty()) {
-        response = errorResponse(403, "limited-token", "the token is limited to tenants, and this concerns all of them");
+    } else if (!route->forLimitedTokens && !token->workspaces.empty()) {
+        response = errorResponse(403, "limited-token", "the token is limited to workspaces, and this concerns all of them");
     } else if (const auto query = Query::parse(queryText, path == "/v1/outcomes"); !query) {
         response = errorResponse(400, "malformed-query", "the query is malformed or has unknown parameters");
     } else {
@@ -170,16 +170,16 @@
 
 AdminResponse AdminHandler::serveOutcomes(const AccessToken &token, const Query &query) const
 {
-    // The answer for another's tenant and for one that does not exist is the same.
-    if (query.tenant && !maySee(token, *query.tenant)) {
-        return errorResponse(403, "foreign-tenant", "the token does not cover this tenant");
+    // The answer for another's workspace and for one that does not exist is the same.
+    if (query.workspace && !maySee(token, *query.workspace)) {
+        return errorResponse(403, "foreign-workspace", "the token does not cover this workspace");
     }
     OutcomesReport report = m_source.outcomes();
     std::erase_if(report.rows, [&](const OutcomeRow &row) {
-        return !maySee(token, row.key.tenant) || (query.tenant && row.key.tenant != *query.tenant);
+        return !maySee(token, row.key.workspace) || (query.workspace && row.key.workspace != *query.workspace);
     });
-    if (!token.tenants.empty()) {
-        // Overloads are counted over all tenants.
+    if (!token.workspaces.empty()) {
+        // Overloads are counted over all workspaces.
         report.lastOverloads.clear();
     }
     return jsonResponse(outcomesJson(report));
--- a/src/admin/adminhandler.h
+++ b/src/admin/adminhandler.h
@@ -16,7 +16,7 @@
     std::string_view method;
     std::string_view path;
     AccessRight right;
-    // True if a token that is limited to tenants may call it.
+    // True if a token that is limited to workspaces may call it.
     bool forLimitedTokens;
 };
 
--- a/src/admin/adminjson.cpp
+++ b/src/admin/adminjson.cpp
@@ -22,7 +22,7 @@
     }
     return {{"service", row.key.service.value()},
             {"class", callClassName(row.key.callClass)},
-            {"tenant", row.key.tenant.value()},
+            {"workspace", row.key.workspace.value()},
             {"completed", row.completed},
             {"failed", row.failed},
             {"refusals", std::move(refusals)},
--- a/src/admin/adminsettings.cpp
+++ b/src/admin/adminsettings.cpp
@@ -27,11 +27,11 @@
         reader.error("secret", "needs at least " + std::to_string(LeastSecretLength) + " characters");
     }
     token.right = reader.choice("right", {"reader", "operator"}) == "operator" ? AccessRight::Operator : AccessRight::Reader;
-    for (std::string &tenant : reader.texts("tenants", false)) {
-        token.tenants.emplace_back(std::move(tenant));
+    for (std::string &workspace : reader.texts("workspaces", false)) {
+        token.workspaces.emplace_back(std::move(workspace));
     }
-    // An empty list would mean all tenants, which is hardly what was meant.
-    reader.requireElement("tenants");
+    // An empty list would mean all workspaces, which is hardly what was meant.
+    reader.requireElement("workspaces");
     reader.reportUnknownMembers();
     return token;
 }
--- a/src/core/base/ids.h
+++ b/src/core/base/ids.h
@@ -12,7 +12,7 @@
 using ServiceId = StrongString<struct ServiceIdTag>;
 using OperationId = StrongString<struct OperationIdTag>;
 using DomainId = StrongString<struct DomainIdTag>;
-using TenantId = StrongString<struct TenantIdTag>;
+using WorkspaceId = StrongString<struct WorkspaceIdTag>;
 
 // Number that grows with each start of an instance.
 using Incarnation = std::uint64_t;
--- a/src/core/config/configuration.h
+++ b/src/core/config/configuration.h
@@ -54,7 +54,7 @@
     std::vector<DomainId> domains;
     std::vector<ServiceConfiguration> services;
     // Customers of the platform that share the services; outcomes are counted for each.
-    std::vector<TenantId> tenants;
+    std::vector<WorkspaceId> workspaces;
 
     friend bool operator==(const Configuration &, const Configuration &) = default;
 };
--- a/src/core/config/configurationdiff.cpp
+++ b/src/core/config/configurationdiff.cpp
@@ -31,7 +31,7 @@
 {
     json result = json::parse(printConfiguration(configuration), nullptr, false);
     std::sort(result["domains"].begin(), result["domains"].end());
-    std::sort(result["tenants"].begin(), result["tenants"].end());
+    std::sort(result["workspaces"].begin(), result["workspaces"].end());
     for (json &service : result["services"]) {
         service["operations"] = byId(service["operations"]);
     }
--- a/src/core/config/configurationdiff.h
+++ b/src/core/config/configurationdiff.h
@@ -28,7 +28,7 @@
 };
 
 // All differences, ordered by place. Elements of lists are matched by their id, so their order does not count. Equal configurations have
-// none; an added or removed service, operation or tenant is one change.
+// none; an added or removed service, operation or workspace is one change.
 std::vector<ConfigurationChange> compareConfigurations(const Configuration &before, const Configuration &after);
 
 // One line per change for people; empty if there is none.
--- a/src/core/config/configurationdocument.cpp
+++ b/src/core/config/configurationdocument.cpp
@@ -90,7 +90,7 @@
             configuration.host = reader.text("host");
         }
         configuration.domains = toIds<DomainId>(reader.texts("domains", true));
-        configuration.tenants = toIds<TenantId>(reader.texts("tenants", false));
+        configuration.workspaces = toIds<WorkspaceId>(reader.texts("workspaces", false));
         std::set<ServiceId> seen;
         reader.elements("services", true, [&](const json &value, const std::string &pointer) {
             configuration.services.push_back(service(value, pointer));
@@ -165,7 +165,7 @@
     json document = {{"version", configuration.version},
                      {"name", configuration.name},
                      {"domains", idList(configuration.domains)},
-                     {"tenants", idList(configuration.tenants)},
+                     {"workspaces", idList(configuration.workspaces)},
                      {"services", std::move(services)}};
     if (!configuration.host.empty()) {
         document["host"] = configuration.host;
--- a/src/core/config/generator.cpp
+++ b/src/core/config/generator.cpp
@@ -45,7 +45,7 @@
                                 .host = questionnaire.host,
                                 .domains = {},
                                 .services = {},
-                                .tenants = questionnaire.tenants};
+                                .workspaces = questionnaire.workspaces};
     for (const std::string &domain : questionnaire.failureDomains) {
         configuration.domains.emplace_back(domain);
     }
--- a/src/core/config/questionnaire.h
+++ b/src/core/config/questionnaire.h
@@ -65,7 +65,7 @@
     // Host name under which callers reach the services; empty for every host name.
     std::string host;
     std::vector<std::string> failureDomains;
-    std::vector<TenantId> tenants;
+    std::vector<WorkspaceId> workspaces;
     std::vector<ServiceAnswers> services;
 };
 
--- a/src/core/config/questionnairereader.cpp
+++ b/src/core/config/questionnairereader.cpp
@@ -91,8 +91,8 @@
         questionnaire.host = host(reader);
         questionnaire.failureDomains = names(reader, "failureDomains", true);
         reader.requireElement("failureDomains");
-        for (std::string &tenant : names(reader, "tenants", false)) {
-            questionnaire.tenants.emplace_back(std::move(tenant));
+        for (std::string &workspace : names(reader, "workspaces", false)) {
+            questionnaire.workspaces.emplace_back(std::move(workspace));
         }
         reader.elements("services", true,
                         [&](const json &value, const std::string &pointer) { questionnaire.services.push_back(service(value, pointer)); });
--- a/src/core/config/questionnairerules.cpp
+++ b/src/core/config/questionnairerules.cpp
@@ -76,8 +76,8 @@
         const Questionnaire &all = m_questionnaire;
         checkUnique(all.failureDomains.size(),
                     [&](std::size_t index) { return std::make_pair(all.failureDomains[index], childPointer("/failureDomains", index)); });
-        checkUnique(all.tenants.size(),
-                    [&](std::size_t index) { return std::make_pair(all.tenants[index].value(), childPointer("/tenants", index)); });
+        checkUnique(all.workspaces.size(),
+                    [&](std::size_t index) { return std::make_pair(all.workspaces[index].value(), childPointer("/workspaces", index)); });
         checkUnique(all.services.size(),
                     [&](std::size_t index) { return std::make_pair(all.services[index].id, all.services[index].pointer + "/id"); });
         for (const ServiceAnswers &service : all.services) {
--- a/src/ctl/ctlarguments.cpp
+++ b/src/ctl/ctlarguments.cpp
@@ -20,7 +20,7 @@
                                           {"output", required_argument, nullptr, 'o'},
                                           {"published", required_argument, nullptr, 'd'},
                                           {"service", required_argument, nullptr, 'S'},
-                                          {"tenant", required_argument, nullptr, 't'},
+                                          {"workspace", required_argument, nullptr, 't'},
                                           {"node", required_argument, nullptr, 'n'},
                                           {"token-file", required_argument, nullptr, 'T'},
                                           {"ca-file", required_argument, nullptr, 'C'},
@@ -72,7 +72,7 @@
     case 'S':
         return &line.service;
     case 't':
-        return &line.tenant;
+        return &line.workspace;
     case 'n':
         return &line.node;
     case 'T':
--- a/src/ctl/ctlarguments.h
+++ b/src/ctl/ctlarguments.h
@@ -24,7 +24,7 @@
     std::string outputFile;
     std::string publishedFile;
     std::string service;
-    std::string tenant;
+    std::string workspace;
     // URL of the administration API, "http://127.0.0.1:7300".
     std::string node;
     std::string tokenFile;
--- a/src/ctl/nodecommands.cpp
+++ b/src/ctl/nodecommands.cpp
@@ -50,8 +50,8 @@
         out << " " << domain.value();
     }
     out << "\n";
-    for (const TenantId &tenant : configuration.tenants) {
-        out << "tenant " << tenant.value() << "\n";
+    for (const WorkspaceId &workspace : configuration.workspaces) {
+        out << "workspace " << workspace.value() << "\n";
     }
 }
 
@@ -186,7 +186,7 @@
 
 ExitCode runOutcomes(const CtlArguments &line, CommandContext context)
 {
-    const std::string query = line.tenant.empty() ? "" : "?tenant=" + percentEncoded(line.tenant);
+    const std::string query = line.workspace.empty() ? "" : "?workspace=" + percentEncoded(line.workspace);
     const auto outcomes = askNode(line, "GET", "/v1/outcomes" + query);
     return outcomes ? show(line, context, *outcomes, printOutcomes) : fail(context, outcomes.error());
 }
--- a/src/ctl/outcomestext.cpp
+++ b/src/ctl/outcomestext.cpp
@@ -57,9 +57,9 @@
 void printOutcomes(std::ostream &out, const json &outcomes)
 {
     out << "outcomes of the last " << number(outcomes.at("coveredSeconds")) << " s\n";
-    std::vector<Row> rows{{"service", "class", "tenant", "goodput/s", "offered/s", "mean ms", "whole", "failed", "refused"}};
+    std::vector<Row> rows{{"service", "class", "workspace", "goodput/s", "offered/s", "mean ms", "whole", "failed", "refused"}};
     for (const json &row : outcomes.at("rows")) {
-        rows.push_back({row.at("service").get<std::string>(), row.at("class").get<std::string>(), row.at("tenant").get<std::string>(),
+        rows.push_back({row.at("service").get<std::string>(), row.at("class").get<std::string>(), row.at("workspace").get<std::string>(),
                         number(row.at("goodputPerSecond")), number(row.at("offeredPerSecond")), number(row.at("meanMs")),
                         number(row.at("completed")), number(row.at("failed")), refusalText(row.at("refusals"))});
     }
--- a/src/daemon/callstatistics.cpp
+++ b/src/daemon/callstatistics.cpp
@@ -6,10 +6,11 @@
 
 namespace {
 
-OutcomeKey keyOf(const Route &route, std::string_view tenant)
+OutcomeKey keyOf(const Route &route, std::string_view workspace)
 {
-    return {
-        .service = operationOf(route.name).service, .callClass = classOfPriority(route.priority), .tenant = TenantId(std::string(tenant))};
+    return {.service = operationOf(route.name).service,
+            .callClass = classOfPriority(route.priority),
+            .workspace = WorkspaceId(std::string(workspace))};
 }
 
 } // namespace
@@ -24,19 +25,19 @@
     m_load.arrived(named.service, named.operation);
 }
 
-void CallStatistics::answered(const Route &route, std::string_view tenant, Duration time)
+void CallStatistics::answered(const Route &route, std::string_view workspace, Duration time)
 {
-    m_outcomes.completed(keyOf(route, tenant), time);
+    m_outcomes.completed(keyOf(route, workspace), time);
 }
 
-void CallStatistics::refused(const Route &route, std::string_view tenant, RefusalReason reason)
+void CallStatistics::refused(const Route &route, std::string_view workspace, RefusalReason reason)
 {
-    m_outcomes.refused(keyOf(route, tenant), reason);
+    m_outcomes.refused(keyOf(route, workspace), reason);
 }
 
-void CallStatistics::failed(const Route &route, std::string_view tenant)
+void CallStatistics::failed(const Route &route, std::string_view workspace)
 {
-    m_outcomes.failed(keyOf(route, tenant));
+    m_outcomes.failed(keyOf(route, workspace));
 }
 
 void CallStatistics::ran(std::string_view routeName, Duration time)
--- a/src/daemon/callstatistics.h
+++ b/src/daemon/callstatistics.h
@@ -14,9 +14,9 @@
     explicit CallStatistics(const Clock &clock);
 
     void arrived(const Route &route) override;
-    void answered(const Route &route, std::string_view tenant, Duration time) override;
-    void refused(const Route &route, std::string_view tenant, RefusalReason reason) override;
-    void failed(const Route &route, std::string_view tenant) override;
+    void answered(const Route &route, std::string_view workspace, Duration time) override;
+    void refused(const Route &route, std::string_view workspace, RefusalReason reason) override;
+    void failed(const Route &route, std::string_view workspace) override;
     void ran(std::string_view routeName, Duration time) override;
 
     OutcomesReport outcomes() const
--- a/src/daemon/ownheadernames.h
+++ b/src/daemon/ownheadernames.h
@@ -15,7 +15,7 @@
             .instanceId = "wf-instance-id",
             .notExecuted = "wf-not-executed",
             .instanceLoad = "wf-instance-load",
-            .tenant = "wf-tenant"};
+            .workspace = "wf-workspace"};
 }
 
 } // namespace wisteriafork
--- a/src/lab/standinserver.cpp
+++ b/src/lab/standinserver.cpp
@@ -20,7 +20,7 @@
 constexpr const char *CrashHeader = "X-Lab-Crash";
 
 // Headers that a service copies from the request it serves to the calls it makes for it.
-constexpr const char *PropagatedHeaders[] = {RequestIdHeader, "traceparent", "Wf-Deadline-Ms", "Wf-Tenant"};
+constexpr const char *PropagatedHeaders[] = {RequestIdHeader, "traceparent", "Wf-Deadline-Ms", "Wf-Workspace"};
 // Identity of one send of a request. Calls carry the id of the request that they are made for, followed by a part of their own.
 constexpr const char *SendIdHeader = "Wf-Request-Id";
 
--- a/src/observability/outcomes.cpp
+++ b/src/observability/outcomes.cpp
@@ -49,7 +49,7 @@
             return found->second;
         }
         if (rows.size() >= MaximumKeys) {
-            return rows[{.service = key.service, .callClass = key.callClass, .tenant = TenantId("_other")}];
+            return rows[{.service = key.service, .callClass = key.callClass, .workspace = WorkspaceId("_other")}];
         }
         return rows[key];
     }
--- a/src/observability/outcomes.h
+++ b/src/observability/outcomes.h
@@ -9,7 +9,7 @@
 
 // Counts what became of the calls of callers: goodput of whole requests, refusals by reason, and the recovery time of the
 // last overload. Each call ends in exactly one of `completed`, `refused` and `failed`. Thread safe by its own lock,
-// number 4 of the lock order. Beyond 4096 keys, further tenants are counted together as tenant "_other".
+// number 4 of the lock order. Beyond 4096 keys, further workspaces are counted together as workspace "_other".
 class Outcomes
 {
 public:
--- a/src/observability/outcomesreport.h
+++ b/src/observability/outcomesreport.h
@@ -18,12 +18,12 @@
 {
     ServiceId service;
     CallClass callClass = CallClass::Read;
-    TenantId tenant;
+    WorkspaceId workspace;
 
     friend auto operator<=>(const OutcomeKey &, const OutcomeKey &) = default;
 };
 
-// Outcomes of the calls of one service, class and tenant since the node started.
+// Outcomes of the calls of one service, class and workspace since the node started.
 struct OutcomeRow
 {
     OutcomeKey key;
--- a/src/relay/headernames.h
+++ b/src/relay/headernames.h
@@ -24,7 +24,7 @@
     // Load of a backend server.
     std::string instanceLoad;
     // Customer of the platform for whom the caller acts; empty if the deployment has no such field.
-    std::string tenant;
+    std::string workspace;
 };
 
 } // namespace wisteriafork
--- a/src/relay/relaycall.h
+++ b/src/relay/relaycall.h
@@ -69,7 +69,7 @@
     void reportRefused(RefusalReason reason);
     void reportFailed();
     std::string_view requestId() const;
-    std::string_view tenant() const;
+    std::string_view workspace() const;
     // Whom to report the end of a caller's request; null if nobody wants to know or the request is none of a caller.
     RelayObserver *observer() const;
     Duration elapsed() const;
--- a/src/relay/relaycallanswers.cpp
+++ b/src/relay/relaycallanswers.cpp
@@ -56,7 +56,7 @@
     if (counter != RelayCounter::Succeeded) {
         reportFailed();
     } else if (RelayObserver *told = observer()) {
-        told->answered(*m_route, tenant(), elapsed());
+        told->answered(*m_route, workspace(), elapsed());
     }
     const std::string &idField = m_parts.settings.headers.requestId;
     if (!response.headers.contains(idField)) {
@@ -94,20 +94,20 @@
 void RelayCall::reportRefused(RefusalReason reason)
 {
     if (RelayObserver *told = observer()) {
-        told->refused(*m_route, tenant(), reason);
+        told->refused(*m_route, workspace(), reason);
     }
 }
 
 void RelayCall::reportFailed()
 {
     if (RelayObserver *told = observer()) {
-        told->failed(*m_route, tenant());
+        told->failed(*m_route, workspace());
     }
 }
 
-std::string_view RelayCall::tenant() const
+std::string_view RelayCall::workspace() const
 {
-    return m_exchange->request->headers.find(m_parts.settings.headers.tenant);
+    return m_exchange->request->headers.find(m_parts.settings.headers.workspace);
 }
 
 RelayObserver *RelayCall::observer() const
--- a/tests/admin/adminhandler_test.cpp
+++ b/tests/admin/adminhandler_test.cpp
@@ -135,8 +135,8 @@
     CHECK_FALSE(m_source.draining);
 }
 
-// Guards against a token that is limited to a tenant and sees or stops what belongs to others.
-TEST(AdminHandler, keepsLimitedTokensToTheirTenants)
+// Guards against a token that is limited to a workspace and sees or stops what belongs to others.
+TEST(AdminHandler, keepsLimitedTokensToTheirWorkspaces)
 {
     const std::string secret = "growers-secret-001";
     for (const AdminRoute &route : adminRoutes()) {
@@ -145,16 +145,16 @@
         }
     }
     CHECK_FALSE(m_source.draining);
-    LONGS_EQUAL(403, status("GET", "/v1/outcomes?tenant=inspectors", secret));
-    STRCMP_EQUAL(ask("GET", "/v1/outcomes?tenant=inspectors", secret).body.c_str(),
-                 ask("GET", "/v1/outcomes?tenant=no-such-tenant", secret).body.c_str());
+    LONGS_EQUAL(403, status("GET", "/v1/outcomes?workspace=inspectors", secret));
+    STRCMP_EQUAL(ask("GET", "/v1/outcomes?workspace=inspectors", secret).body.c_str(),
+                 ask("GET", "/v1/outcomes?workspace=no-such-workspace", secret).body.c_str());
 
     const json own = json::parse(ask("GET", "/v1/outcomes", secret).body);
     LONGS_EQUAL(1, own["rows"].size());
-    STRCMP_EQUAL("growers", own["rows"][0]["tenant"].get<std::string>().c_str());
+    STRCMP_EQUAL("growers", own["rows"][0]["workspace"].get<std::string>().c_str());
     LONGS_EQUAL(0, own["lastOverloads"].size());
     LONGS_EQUAL(2, json::parse(ask("GET", "/v1/outcomes", "reader-secret-0001").body)["rows"].size());
-    LONGS_EQUAL(1, json::parse(ask("GET", "/v1/outcomes?tenant=grow%65rs", "reader-secret-0001").body)["rows"].size());
+    LONGS_EQUAL(1, json::parse(ask("GET", "/v1/outcomes?workspace=grow%65rs", "reader-secret-0001").body)["rows"].size());
 }
 
 // Guards against malformed targets that are served as something else.
@@ -164,8 +164,8 @@
     LONGS_EQUAL(404, status("GET", "/v1/status/", secret));
     LONGS_EQUAL(404, status("GET", "", secret));
     LONGS_EQUAL(405, status("POST", "/v1/status", secret));
-    for (const std::string target : {"/v1/status?tenant=growers", "/v1/outcomes?tenant=", "/v1/outcomes?tenant=%4",
-                                     "/v1/outcomes?tenant=%zz", "/v1/outcomes?other=1", "/v1/outcomes?tenant=a&tenant=b"}) {
+    for (const std::string target : {"/v1/status?workspace=growers", "/v1/outcomes?workspace=", "/v1/outcomes?workspace=%4",
+                                     "/v1/outcomes?workspace=%zz", "/v1/outcomes?other=1", "/v1/outcomes?workspace=a&workspace=b"}) {
         LONGS_EQUAL(400, status("GET", target, secret));
     }
 }
--- a/tests/admin/adminserver_test.cpp
+++ b/tests/admin/adminserver_test.cpp
@@ -114,7 +114,7 @@
     CHECK_FALSE(server.source.draining);
     expectStatus(403,
                  exchange(server,
-                          "GET /v1/outcomes?tenant=inspectors HTTP/1.1\r\nHost: a\r\n"
+                          "GET /v1/outcomes?workspace=inspectors HTTP/1.1\r\nHost: a\r\n"
                           "Authorization: Bearer growers-secret-001\r\n\r\n"));
 }
 
@@ -196,16 +196,16 @@
     };
     Findings findings;
     const AdminOptions options = read(R"({"address": "::1", "tls": {"certificate": "a.pem", "key": "/b.pem"},
-        "tokens": [{"name": "x", "secret": "0123456789abcdef", "right": "operator", "tenants": ["growers"]}]})",
+        "tokens": [{"name": "x", "secret": "0123456789abcdef", "right": "operator", "workspaces": ["growers"]}]})",
                                       findings);
     CHECK(findings.empty());
     STRCMP_EQUAL("/etc/wf/a.pem", options.tls.certificateFile.c_str());
     STRCMP_EQUAL("/b.pem", options.tls.keyFile.c_str());
     LONGS_EQUAL(7300, options.port);
     CHECK_FALSE(options.allowRemote);
-    CHECK(options.tokens[0].right == AccessRight::Operator && options.tokens[0].tenants[0].value() == "growers");
+    CHECK(options.tokens[0].right == AccessRight::Operator && options.tokens[0].workspaces[0].value() == "growers");
 
-    read(R"({"port": 0, "tokens": [{"name": "x", "secret": "short", "right": "admin", "tenants": []}], "open": true})", findings);
+    read(R"({"port": 0, "tokens": [{"name": "x", "secret": "short", "right": "admin", "workspaces": []}], "open": true})", findings);
     LONGS_EQUAL(5, findings.size());
 }
 
--- a/tests/admin/fakesource.h
+++ b/tests/admin/fakesource.h
@@ -26,9 +26,9 @@
     {
         OutcomesReport report;
         report.covered = std::chrono::minutes(2);
-        for (const char *tenant : {"growers", "inspectors"}) {
+        for (const char *workspace : {"growers", "inspectors"}) {
             OutcomeRow row;
-            row.key = {.service = ServiceId("registar"), .callClass = CallClass::Critical, .tenant = TenantId(tenant)};
+            row.key = {.service = ServiceId("registar"), .callClass = CallClass::Critical, .workspace = WorkspaceId(workspace)};
             row.completed = 41;
             row.refusals[RefusalReason::Overloaded] = 2;
             row.goodputPerSecond = 12.34;
--- a/tests/admin/runningserver.h
+++ b/tests/admin/runningserver.h
@@ -13,14 +13,14 @@
 
 namespace wisteriafork {
 
-// Options with a reader, an operator and a reader that is limited to the tenant "growers".
+// Options with a reader, an operator and a reader that is limited to the workspace "growers".
 inline AdminOptions testOptions()
 {
     AdminOptions options;
     options.tokens
-        = {{.name = "reader", .secret = "reader-secret-0001", .right = AccessRight::Reader, .tenants = {}},
-           {.name = "operator", .secret = "operator-secret-01", .right = AccessRight::Operator, .tenants = {}},
-           {.name = "growers", .secret = "growers-secret-001", .right = AccessRight::Operator, .tenants = {TenantId("growers")}}};
+        = {{.name = "reader", .secret = "reader-secret-0001", .right = AccessRight::Reader, .workspaces = {}},
+           {.name = "operator", .secret = "operator-secret-01", .right = AccessRight::Operator, .workspaces = {}},
+           {.name = "growers", .secret = "growers-secret-001", .right = AccessRight::Operator, .workspaces = {WorkspaceId("growers")}}};
     options.requestTimeout = std::chrono::milliseconds(2000);
     return options;
 }
--- a/tests/config/configurationdocument_test.cpp
+++ b/tests/config/configurationdocument_test.cpp
@@ -76,7 +76,7 @@
         Configuration configuration{
             .version = *rc::gen::inRange<std::uint64_t>(1, 1'000'000), .name = anyText(), .domains = {DomainId(anyText())}};
         configuration.host = *rc::gen::element<std::string>("", "api.example");
-        configuration.tenants = {TenantId(anyText())};
+        configuration.workspaces = {WorkspaceId(anyText())};
         for (int number = 0; number < 3; ++number) {
             configuration.services.push_back(anyService(number));
         }
--- a/tests/config/questionnaire_test.cpp
+++ b/tests/config/questionnaire_test.cpp
@@ -170,7 +170,7 @@
     const std::string text = "{\n"
                              "  \"name\": \"Has Space\",\n"
                              "  \"failureDomains\": [],\n"
-                             "  \"tenants\": [\"a b\"],\n"
+                             "  \"workspaces\": [\"a b\"],\n"
                              "  \"host\":\n"
                              "    \"UPPER.example\",\n"
                              "  \"colour\": 1,\n"
@@ -179,7 +179,7 @@
 
     const QuestionnaireCheck check = checkQuestionnaire(text);
 
-    const std::vector<std::pair<unsigned, std::string>> expected{{2, "/name"}, {3, "/failureDomains"}, {4, "/tenants/0"},
+    const std::vector<std::pair<unsigned, std::string>> expected{{2, "/name"}, {3, "/failureDomains"}, {4, "/workspaces/0"},
                                                                  {5, "/host"}, {7, "/colour"},         {8, "/services"}};
     std::vector<std::pair<unsigned, std::string>> found;
     for (const Finding &finding : check.findings) {
@@ -290,14 +290,14 @@
     after.version = 2;
     after.services[1].slots = 60;
     after.services[0].operations[1].callerWait = std::chrono::milliseconds(9000);
-    after.tenants.pop_back();
+    after.workspaces.pop_back();
 
     const auto changes = compareConfigurations(before, after);
 
     STRCMP_EQUAL("changed services/bestilling/operations/read-order/callerWaitMs: 8000 -> 9000\n"
                  "changed services/katalog/slots: 100 -> 60\n"
-                 "changed tenants: [\"customers\",\"physiotherapists\"] -> [\"customers\"]\n"
-                 "changed version: 1 -> 2\n",
+                 "changed version: 1 -> 2\n"
+                 "changed workspaces: [\"customers\",\"physiotherapists\"] -> [\"customers\"]\n",
                  describeChanges(changes).c_str());
     LONGS_EQUAL(4, json::parse(printChanges(changes)).size());
 }
--- a/tests/ctl/ctl_test.cpp
+++ b/tests/ctl/ctl_test.cpp
@@ -94,7 +94,7 @@
                                                       {"config", "generate", "a", "--json"},
                                                       {"node", "drain", "--undo", "--wait", "1"},
                                                       {"node", "drain", "--wait", "9999"},
-                                                      {"outcomes", "--tenant"}};
+                                                      {"outcomes", "--workspace"}};
     for (const auto &arguments : wrong) {
         LONGS_EQUAL(2, run(arguments));
         CHECK_FALSE(m_err.empty());
@@ -171,7 +171,7 @@
     LONGS_EQUAL(0, run({"node", "status", "--token-file", reader}));
     STRCMP_CONTAINS("registar-osijek-1 (service registar, failure domain osijek)", m_out.c_str());
     STRCMP_CONTAINS("configuration version 5", m_out.c_str());
-    LONGS_EQUAL(0, run({"outcomes", "--token-file", reader, "--tenant", "growers"}));
+    LONGS_EQUAL(0, run({"outcomes", "--token-file", reader, "--workspace", "growers"}));
     STRCMP_CONTAINS("12.3", m_out.c_str());
     STRCMP_CONTAINS("2 overloaded", m_out.c_str());
     STRCMP_CONTAINS("recovery took 4.0 s", m_out.c_str());
--- a/tests/observability/outcomes_test.cpp
+++ b/tests/observability/outcomes_test.cpp
@@ -15,7 +15,7 @@
 {
     ManualClock m_clock;
     Outcomes m_outcomes{m_clock};
-    OutcomeKey m_key{.service = ServiceId("registar"), .callClass = CallClass::Read, .tenant = TenantId("growers")};
+    OutcomeKey m_key{.service = ServiceId("registar"), .callClass = CallClass::Read, .workspace = WorkspaceId("growers")};
 
     // Seconds with the given number of completed and refused calls each.
     void run(int seconds, int completed, int refused, Duration time)
@@ -39,10 +39,10 @@
     }
 };
 
-// Guards against outcomes that are counted twice, lost or given to another tenant.
+// Guards against outcomes that are counted twice, lost or given to another workspace.
 TEST(Outcomes, countEachOutcomeOncePerKey)
 {
-    const OutcomeKey other{.service = m_key.service, .callClass = CallClass::Critical, .tenant = TenantId("inspectors")};
+    const OutcomeKey other{.service = m_key.service, .callClass = CallClass::Critical, .workspace = WorkspaceId("inspectors")};
     m_outcomes.completed(m_key, 10ms);
     m_outcomes.completed(m_key, 30ms);
     m_outcomes.refused(m_key, RefusalReason::Overloaded);
@@ -100,11 +100,11 @@
     CHECK_FALSE(lastOverload().latencyRecovered);
 }
 
-// Guards against a caller who fills the memory with invented tenants.
+// Guards against a caller who fills the memory with invented workspaces.
 TEST(Outcomes, boundTheNumberOfKeys)
 {
-    for (int tenant = 0; tenant < 6000; ++tenant) {
-        m_key.tenant = TenantId(std::to_string(tenant));
+    for (int workspace = 0; workspace < 6000; ++workspace) {
+        m_key.workspace = WorkspaceId(std::to_string(workspace));
         m_outcomes.failed(m_key);
     }
     LONGS_EQUAL(4097, m_outcomes.report().rows.size());
