Keep removed instances only after an outage in which entries may lapse

An entry lapses after three missed heartbeats, so an outage matters only if no answer came for two of them.

Test: InstanceDirectory.ARemovalAfterOneFailedCallIsNotTakenForALapse fails without the change. InstanceDirectory no longer keeps a time per held entry.

--- a/src/core/relay/instancedirectory.cpp
+++ b/src/core/relay/instancedirectory.cpp
@@ -1,7 +1,7 @@
 #include "core/relay/instancedirectory.h"
 
 #include <algorithm>
-#include <unordered_set>
+#include <utility>
 
 namespace wisteriafork {
 
@@ -42,7 +42,7 @@
     }
     // An instance that said it leaves has left; only entries that vanish without that may belong to a live instance.
     if (holdsRemovals() && !known->draining) {
-        m_held.emplace(id, m_holdUntil);
+        m_held.insert(id);
         return;
     }
     erase(id);
@@ -66,19 +66,18 @@
     }
 }
 
-void InstanceDirectory::sourceLost()
+void InstanceDirectory::sourceLost(TimePoint lastAnswer)
 {
     m_lost = true;
+    m_lastAnswer = lastAnswer;
 }
 
 void InstanceDirectory::sourceRestored()
 {
     if (m_lost) {
         m_lost = false;
-        m_holdUntil = m_clock.now() + m_options.lapseHold;
-        for (auto &[id, until] : m_held) {
-            until = m_holdUntil;
-        }
+        const bool entriesMayHaveLapsed = m_clock.now() - m_lastAnswer >= m_options.lapseAfter;
+        m_holdUntil = entriesMayHaveLapsed ? m_clock.now() + m_options.lapseHold : m_holdUntil;
     }
 }
 
@@ -87,7 +86,7 @@
     if (m_held.empty() || m_lost || m_clock.now() < m_holdUntil) {
         return;
     }
-    for (const auto &[id, until] : std::exchange(m_held, {})) {
+    for (const std::string &id : std::exchange(m_held, {})) {
         erase(id);
     }
 }
--- a/src/core/relay/instancedirectory.h
+++ b/src/core/relay/instancedirectory.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace wisteriafork {
@@ -17,6 +18,9 @@
     // Time after the list is readable again for which entries that lapsed meanwhile are kept. Live instances are listed again within about
     // two seconds of that moment.
     Duration lapseHold = std::chrono::milliseconds(2300);
+    // Shortest time without an answer in which entries of live instances may lapse: two of the three missed heartbeats after which the
+    // platform drops an entry, since the first one may be missed by chance. 1.5 s is the platform's usual heartbeat.
+    Duration lapseAfter = std::chrono::milliseconds(3000);
 };
 
 // The instances that the platform lists, by service. Entries that vanish while the list cannot be read are kept for a short time after its
@@ -32,8 +36,8 @@
     void remove(const std::string &id);
     // The whole list was read.
     void replaceAll(std::vector<Instance> instances);
-    // The list cannot be read at present.
-    void sourceLost();
+    // The list cannot be read at present; the last answer came at `lastAnswer`.
+    void sourceLost(TimePoint lastAnswer);
     // The list can be read again.
     void sourceRestored();
     // Drops entries that were kept and have not come back. Call every 100 ms.
@@ -60,8 +64,9 @@
     // Id of the instance at each address.
     std::unordered_map<std::string, std::string> m_atAddress;
     // Removed entries that are kept until the hold time ends.
-    std::unordered_map<std::string, TimePoint> m_held;
+    std::unordered_set<std::string> m_held;
     bool m_lost = false;
+    TimePoint m_lastAnswer{};
     TimePoint m_holdUntil{};
 };
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -269,11 +269,11 @@
     d->parts.directory.replaceAll(std::move(instances));
 }
 
-void Relay::sourceLost(const std::string &reason)
+void Relay::sourceLost(const std::string &reason, TimePoint lastAnswer)
 {
     if (!std::exchange(d->lost, true)) {
         d->parts.log.write(EventNumber::SourceLost, {reason});
-        d->parts.directory.sourceLost();
+        d->parts.directory.sourceLost(lastAnswer);
     }
 }
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -44,8 +44,8 @@
     void putInstance(Instance instance);
     void removeInstance(const std::string &id);
     void replaceInstances(std::vector<Instance> instances);
-    // The list of instances cannot be read at present, or can be read again.
-    void sourceLost(const std::string &reason);
+    // The list of instances cannot be read since some time after `lastAnswer`, or can be read again.
+    void sourceLost(const std::string &reason, TimePoint lastAnswer);
     void sourceRestored();
 
     // Asks another node for its snapshot; the handler gets nothing if there is no answer.
--- a/tests/relay/instancedirectory_test.cpp
+++ b/tests/relay/instancedirectory_test.cpp
@@ -38,7 +38,7 @@
 {
     directory.put(instance("alive", "shop", "1:1"));
     directory.put(instance("dead", "shop", "2:1"));
-    directory.sourceLost();
+    directory.sourceLost(clock.now());
     pass(5s);
     directory.sourceRestored();
 
@@ -52,12 +52,25 @@
     STRCMP_EQUAL("alive", directory.of(ServiceId("shop"))[0].id.c_str());
 }
 
+TEST(InstanceDirectory, ARemovalAfterOneFailedCallIsNotTakenForALapse)
+{
+    directory.put(instance("a", "shop", "1:1"));
+    directory.sourceLost(clock.now());
+    pass(400ms);
+    directory.sourceRestored();
+
+    directory.remove("a");
+
+    CHECK(directory.of(ServiceId("shop")).empty());
+}
+
 TEST(InstanceDirectory, AnInstanceThatSaidItLeavesIsNotKeptAfterAnOutage)
 {
     Instance leaving = instance("a", "shop", "1:1");
     leaving.draining = true;
     directory.put(leaving);
-    directory.sourceLost();
+    directory.sourceLost(clock.now());
+    pass(5s);
     directory.sourceRestored();
 
     directory.replaceAll({});
