Guard the mark, the echoed id, the caller's deadline and the crash guard

Cause: with each of these mechanisms switched off, all tests of the relay still passed. Each now has a test that was watched red without it (AnAnswer- WithoutTheMark..., ARequestIsHandedNoMoreTime..., RefusesWhatWasInFlight..., DoesNotRunWhatWasInFlight...). AnAnswerToAnotherRequest... was first written for 502 and failed with the mechanism on: the relay goes on waiting for the right answer; it now expects 504 at the time-out.

--- a/tests/relay/edgeadmission_test.cpp
+++ b/tests/relay/edgeadmission_test.cpp
@@ -58,9 +58,9 @@
 
 TEST(EdgeAdmission, ReadsAreNeverAdmittedMoreThanBookings)
 {
-    for (double pressure = 0.0; pressure <= 1.0; pressure += 0.1) {
-        for (double failureShare = 0.0; failureShare <= 1.0; failureShare += 0.25) {
-            CHECK(admitted(2, pressure, failureShare) <= admitted(0, pressure, failureShare) + 0.01);
+    for (int tenths = 0; tenths <= 10; ++tenths) {
+        for (int quarters = 0; quarters <= 4; ++quarters) {
+            CHECK(admitted(2, tenths / 10.0, quarters / 4.0) <= admitted(0, tenths / 10.0, quarters / 4.0) + 0.01);
         }
     }
 }
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -128,10 +128,36 @@
 TEST(Relay, ARequestIsHandedNoMoreTimeThanItsCallerAndItsRouteAllow)
 {
     ask("POST", "/short/1");
+    ask("POST", "/book/1");
+
+    const int leftOfRoute = std::stoi(std::string(books.requests().at(0).headers.find("x-deadline")));
+    const int leftOfCaller = std::stoi(std::string(books.requests().at(1).headers.find("x-deadline")));
+    CHECK(leftOfRoute > 0);
+    CHECK(leftOfRoute <= 200);
+    CHECK(leftOfCaller > 0);
+    CHECK(leftOfCaller <= 9000);
+}
+
+TEST(Relay, AnAnswerToAnotherRequestIsNotPassedOn)
+{
+    answer = [](ServerExchange &exchange) {
+        HttpResponse response{.status = 200};
+        response.headers.add("x-seal", "seal-1");
+        response.headers.add("x-id", "77ff");
+        exchange.respond(std::move(response));
+    };
+
+    // The right answer may still come, until the time-out of the route.
+    LONGS_EQUAL(504, ask("POST", "/short/1")->status);
+}
+
+TEST(Relay, AnAnswerWithoutTheMarkOfTheServerIsNotPassedOn)
+{
+    answer = [](ServerExchange &exchange) {
+        FakeInstance::respond(exchange, 200, "x-other");
+    };
 
-    const int left = std::stoi(std::string(books.requests().front().headers.find("x-deadline")));
-    CHECK(left > 0);
-    CHECK(left <= 200);
+    LONGS_EQUAL(502, ask("POST", "/book/1")->status);
 }
 
 TEST(Relay, AnUnknownRouteIsAnsweredWith404AndAnUnconfiguredNodeWith503)
--- a/tests/relay/relaycall_test.cpp
+++ b/tests/relay/relaycall_test.cpp
@@ -1,5 +1,5 @@
+#include <algorithm>
 #include <map>
-#include <set>
 #include <sstream>
 #include <vector>
 
@@ -86,7 +86,7 @@
     void run()
     {
         for (unsigned call = 0; call < CallsPerSchedule; ++call) {
-            begin(call);
+            begin(call, draw(0, 1) == 0);
             for (unsigned steps = draw(0, 20); steps > 0; --steps) {
                 step();
             }
@@ -99,12 +99,33 @@
         m_sender.poll();
     }
 
+    // What the callers of one request for each kind get when the request was in flight at two crashes; 0 if there was no answer.
+    std::vector<unsigned> statusesOfBannedRequests()
+    {
+        std::vector<unsigned> statuses;
+        for (unsigned number = 0; number < CallsPerSchedule; ++number) {
+            HttpRequest request{.method = "POST", .target = targetOf(number)};
+            request.headers.add("host", "h");
+            const RelayRequest described{.http = std::make_shared<HttpRequest>(request)};
+            m_parts.crashGuard.receive(
+                {.suspects = {{.fingerprint = described.fingerprint(), .state = SuspectState::Banned, .crashes = {1, 2}}}});
+            begin(number, false);
+            statuses.push_back(m_views.at("r" + std::to_string(number)).status);
+        }
+        return statuses;
+    }
+
+    bool hasSent() const
+    {
+        return !m_sender.sends.empty();
+    }
+
     std::string firstProblem()
     {
         for (const auto &[id, view] : m_views) {
             const std::string problem = judge(id, view);
             if (!problem.empty()) {
-                return id + ": " + problem;
+                return std::string(id).append(": ").append(problem);
             }
         }
         const double allowed = RetryBudgetOptions{}.ratio * CallsPerSchedule + RetryBudgetOptions{}.burst;
@@ -117,9 +138,13 @@
         return std::uniform_int_distribution<unsigned>(least, most)(m_random);
     }
 
-    void begin(unsigned number)
+    static std::string targetOf(unsigned number)
+    {
+        return "/book/" + std::to_string(number);
+    }
+
+    void begin(unsigned number, bool idempotent)
     {
-        const bool idempotent = draw(0, 1) == 0;
         const std::string id = "r" + std::to_string(number);
         CallerView &view = m_views[id];
         view.arrived = m_clock.now();
@@ -127,7 +152,7 @@
         auto exchange = std::make_shared<FakeExchange>(m_clock, view);
         exchange->request = std::make_shared<HttpRequest>();
         exchange->request->method = "POST";
-        exchange->request->target = idempotent ? "/read/1" : "/book/1";
+        exchange->request->target = idempotent ? "/read/1" : targetOf(number);
         exchange->request->headers.add("host", "h");
         exchange->request->headers.add("x-id", id);
         m_callers.handleRequest(exchange);
@@ -199,3 +224,14 @@
         CHECK_TEXT(problem.empty(), ("schedule " + std::to_string(number) + ", " + problem).c_str());
     }
 }
+
+// Guards against a request that crashes one backend server after another although that is known.
+TEST(RelayCall, RefusesWhatWasInFlightAtTwoCrashes)
+{
+    Schedule schedule(FirstSeed);
+
+    const std::vector<unsigned> statuses = schedule.statusesOfBannedRequests();
+
+    LONGS_EQUAL(CallsPerSchedule, std::ranges::count(statuses, 503U));
+    CHECK_FALSE(schedule.hasSent());
+}
--- /dev/null
+++ b/tests/relay/servinggateway_test.cpp
@@ -0,0 +1,48 @@
+#include <future>
+#include <sstream>
+
+#include "net/steadyclock.h"
+#include "relay/servinggateway.h"
+#include "relaysetup.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace wisteriafork;
+
+TEST_GROUP(ServingGateway)
+{
+    RunningContext running;
+    FakeInstance shop{running.context, FakeInstance::succeed};
+    SteadyClock clock;
+    std::ostringstream output;
+    EventLog log{LogOptions{}, output};
+    RelayParts parts{running.context, RelaySettings{.node = "n", .server = shop.address(), .headers = testHeaderNames()}, clock, log};
+    ServingGateway gateway{parts};
+
+    void teardown() override
+    {
+        running.stop();
+    }
+
+    AttemptOutcome serve(const RelayRequest &request)
+    {
+        std::promise<AttemptOutcome> outcome;
+        asio::post(running.context, [&] { gateway.serve(request, [&](AttemptOutcome result) { outcome.set_value(std::move(result)); }); });
+        return outcome.get_future().get();
+    }
+};
+
+// Guards against a request of another node that crashes the local backend server although it is known to crash them.
+TEST(ServingGateway, DoesNotRunWhatWasInFlightAtTwoCrashes)
+{
+    auto http = std::make_shared<HttpRequest>(HttpRequest{.method = "POST", .target = "/book/1"});
+    const RelayRequest request{.http = http, .instance = "i-1", .route = "book", .deadline = clock.now() + std::chrono::seconds(20)};
+    parts.crashGuard.receive({.suspects = {{.fingerprint = request.fingerprint(), .state = SuspectState::Banned, .crashes = {1, 2}}}});
+
+    const AttemptOutcome outcome = serve(request);
+
+    const auto *notRun = std::get_if<NotRun>(&outcome.result);
+    CHECK(notRun != nullptr);
+    CHECK((notRun != nullptr ? notRun->reason : NotRunReason::Overloaded) == NotRunReason::SuspectedOfCrash);
+    CHECK(shop.requests().empty());
+}
