--- a/src/core/relay/edgeadmission.cpp
+++ b/src/core/relay/edgeadmission.cpp
@@ -18,10 +18,10 @@
 {
 }
 
-bool EdgeAdmission::admit(const std::string &route, unsigned priority, double pressure, double failureShare, std::uint64_t identity)
+bool EdgeAdmission::admit(const std::string &route, unsigned priority, double pressure, std::uint64_t identity)
 {
     forgetOld();
-    const double share = admittedShare(priority, pressure, failureShare);
+    const double share = admittedShare(priority, pressure);
     const bool returning = m_refused.erase(identity) > 0 && pressure < m_options.returningPressure;
     double &credit = m_credit.try_emplace(route, 1.0).first->second;
     credit = std::min(MostCredit, credit + share);
@@ -45,23 +45,13 @@
     return std::chrono::duration_cast<Duration>(targetLatency * factor);
 }
 
-double EdgeAdmission::urgentShare(double pressure) const
+double EdgeAdmission::admittedShare(unsigned priority, double pressure) const
 {
-    const double shed = (pressure - m_options.urgentPressure) / (1.0 - m_options.urgentPressure);
+    const double urgent = m_options.urgentPressure;
+    const double shed = priority == 0 ? (pressure - urgent) / (1.0 - urgent) : pressure / urgent;
     return std::clamp(1.0 - shed, m_options.leastAdmitted, 1.0);
 }
 
-double EdgeAdmission::admittedShare(unsigned priority, double pressure, double failureShare) const
-{
-    const double urgent = urgentShare(pressure);
-    if (priority == 0) {
-        return urgent;
-    }
-    const double weight = std::min(m_options.greatestWeight, m_options.calmWeight + m_options.failureWeight * failureShare);
-    // Never more than of the most urgent ones.
-    return std::min(urgent, std::max(m_options.leastAdmitted, 1.0 - weight * pressure / m_options.urgentPressure));
-}
-
 void EdgeAdmission::forgetOld()
 {
     const TimePoint now = m_clock.now();
--- a/src/core/relay/edgeadmission.h
+++ b/src/core/relay/edgeadmission.h
@@ -14,13 +14,6 @@
     double urgentPressure = 0.85;
     // Part of the requests that is admitted at the greatest pressure, so that the end of an overload is noticed.
     double leastAdmitted = 0.05;
-    // Part of the pressure by which requests below the most urgent are shed while all admitted ones succeed: waiting alone does little
-    // harm.
-    double calmWeight = 0.4;
-    // Growth of that part with the share of failures: a tenth of failed answers makes it 0.9. Work for requests that fail is taken from
-    // those that could succeed.
-    double failureWeight = 5.0;
-    double greatestWeight = 1.5;
     // Time for which a refused request is remembered; callers come back within a third of their waiting time.
     Duration refusedMemory = std::chrono::milliseconds(2500);
     // Pressure above which a request that was refused before is treated like any other.
@@ -36,16 +29,15 @@
 public:
     EdgeAdmission(const EdgeAdmissionOptions &options, const Clock &clock);
 
-    // `identity` is equal for the repeats of a request. `pressure` and `failureShare`, 0 to 1, are those of the route.
-    bool admit(const std::string &route, unsigned priority, double pressure, double failureShare, std::uint64_t identity);
+    // `identity` is equal for the repeats of a request. `pressure` is that of the route.
+    bool admit(const std::string &route, unsigned priority, double pressure, std::uint64_t identity);
     // A request was refused after it was admitted; its repeat is served before new requests.
     void refusedLater(std::uint64_t identity);
     // Time after which a refused caller should come back; `spread` from 0 to 1 keeps callers apart.
     Duration retryAfter(Duration targetLatency, double spread) const;
 
 private:
-    double urgentShare(double pressure) const;
-    double admittedShare(unsigned priority, double pressure, double failureShare) const;
+    double admittedShare(unsigned priority, double pressure) const;
     void forgetOld();
 
     const EdgeAdmissionOptions m_options;
--- a/src/relay/relaycall.cpp
+++ b/src/relay/relaycall.cpp
@@ -105,8 +105,7 @@
 {
     const HttpRequest &request = *m_exchange->request;
     m_identity = hash64(request.target, hash64(request.body, hash64(request.headers.find("host"))));
-    if (m_parts.admission.admit(m_route->name, m_route->priority, m_parts.pressure.of(m_route->name),
-                                m_parts.outcomes.failureShare(m_route->name), m_identity)) {
+    if (m_parts.admission.admit(m_route->name, m_route->priority, m_parts.pressure.of(m_route->name), m_identity)) {
         return true;
     }
     m_parts.metrics.count(RelayCounter::RefusedAtEntry);
--- a/src/relay/relaycallanswers.cpp
+++ b/src/relay/relaycallanswers.cpp
@@ -32,7 +32,6 @@
         m_parts.metrics.count(RelayCounter::RefusedLater);
         refuse(RefusalReason::Overloaded, "not-run");
     } else if (m_parts.clock.now() >= m_deadline) {
-        m_parts.outcomes.failed(m_route->name);
         fail(504, RelayCounter::TimedOut, "timed-out");
     } else {
         fail(502, RelayCounter::OutcomeUnknown, "outcome-unknown");
