Share the command line of the two node programs, and drop what has no user

- rendezvousWeight, outranks (with their test) and HeaderNames::instanceId had no user.
- RelayLog::decision takes a function that makes the values, so that no caller asks first whether a line would be written.
Lines that are dropped are counted once; before, an answer's dropped line was counted by the question alone, other ones too, so the count is unchanged.
- Relay::applyRoutes says whether the table is in force, which spares PublishedFiles the comparison.

Ruled out: sharing through src/daemon, which the deploy build of the platform does not need.

Before: 2 parsers, no test of either.

--- a/src/core/base/hashing.cpp
+++ b/src/core/base/hashing.cpp
@@ -23,19 +23,4 @@
     return {.high = hash.high64, .low = hash.low64};
 }
 
-std::uint64_t rendezvousWeight(const RequestKey &key, const NodeId &member)
-{
-    return hash64(member.value(), key.high ^ key.low);
-}
-
-bool outranks(const RequestKey &key, const NodeId &first, const NodeId &second)
-{
-    const std::uint64_t firstWeight = rendezvousWeight(key, first);
-    const std::uint64_t secondWeight = rendezvousWeight(key, second);
-    if (firstWeight != secondWeight) {
-        return firstWeight > secondWeight;
-    }
-    return first < second;
-}
-
 } // namespace wisteriafork
--- a/src/core/base/hashing.h
+++ b/src/core/base/hashing.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "core/base/ids.h"
 #include "core/base/requestkey.h"
 
 #include <cstdint>
@@ -20,10 +19,4 @@
     return hashParts(std::span(parts.begin(), parts.size()));
 }
 
-// Weight of a member for a key in rendezvous hashing. The member with the greatest weight ranks first; equal weights are ordered by name.
-std::uint64_t rendezvousWeight(const RequestKey &key, const NodeId &member);
-
-// True if the first member ranks before the second for the key.
-bool outranks(const RequestKey &key, const NodeId &first, const NodeId &second);
-
 } // namespace wisteriafork
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -41,7 +41,7 @@
         , statistics(clock)
         , relay(context, relaySettings(settings), log,
                 {.snapshot = [this] { return files.snapshot(); },
-                 .newerVersionSeen = [this](const std::string &peer) { askPeer(peer); },
+                 .snapshotReceived = [this](const std::string &peer, const std::string &text) { files.takeSnapshot(peer, text); },
                  .observer = &statistics})
         , files(context, relay, log, settings.configurationFile, settings.instancesFile)
         , administration(settings, relay, files, statistics)
@@ -49,20 +49,6 @@
     {
     }
 
-    // A node that has newer routes in force has read them from its file before this one.
-    void askPeer(const std::string &address)
-    {
-        if (std::exchange(asking, true)) {
-            return;
-        }
-        relay.fetchSnapshot(address, [this, address](const std::optional<std::string> &text) {
-            asking = false;
-            if (text) {
-                files.takeSnapshot(address, *text);
-            }
-        });
-    }
-
     void waitForSignal()
     {
         signals.async_wait([this](const ErrorCode &error, int number) {
@@ -131,7 +117,6 @@
     Administration administration;
     asio::signal_set signals;
     std::unique_ptr<AdminServer> adminServer;
-    bool asking = false;
     bool stopping = false;
     int exitStatus = 0;
 };
--- a/src/daemon/ownheadernames.h
+++ b/src/daemon/ownheadernames.h
@@ -12,7 +12,6 @@
             .seal = "",
             .expectedInstance = "wf-expected-instance",
             .callerService = "wf-caller-service",
-            .instanceId = "wf-instance-id",
             .notExecuted = "wf-not-executed",
             .instanceLoad = "wf-instance-load",
             .workspace = "wf-workspace"};
--- a/src/daemon/publishedfiles.cpp
+++ b/src/daemon/publishedfiles.cpp
@@ -98,9 +98,7 @@
         m_log.write(EventNumber::PublishedValueRejected, {source, describeFindings(configuration.error())});
         return false;
     }
-    const std::uint64_t before = m_relay.configurationVersion();
-    m_relay.applyRoutes(routesOf(*configuration));
-    if (configuration->version <= before) {
+    if (!m_relay.applyRoutes(routesOf(*configuration))) {
         return false;
     }
     m_configurationText = text;
--- a/src/daemon/commandline.cpp
+++ b/src/program/commandline.cpp
@@ -1,4 +1,4 @@
-#include "daemon/commandline.h"
+#include "program/commandline.h"
 
 #include <array>
 
@@ -6,7 +6,7 @@
 
 namespace wisteriafork {
 
-tl::expected<CommandLine, std::string> parseCommandLine(int argc, char **argv)
+tl::expected<CommandLine, std::string> parseCommandLine(int argc, char **argv, std::string_view defaultSettingsFile)
 {
     static const std::array<option, 5> options{{
         {"settings", required_argument, nullptr, 's'},
@@ -15,7 +15,7 @@
         {"version", no_argument, nullptr, 'v'},
         {nullptr, 0, nullptr, 0},
     }};
-    CommandLine line;
+    CommandLine line{.settingsFile = std::string(defaultSettingsFile)};
     optind = 1;
     opterr = 0;
     int option = 0;
@@ -44,22 +44,4 @@
     return line;
 }
 
-std::string commandLineHelp()
-{
-    return "Usage: wisteriafork-node --settings FILE [--check]\n"
-           "\n"
-           "Runs one node beside a backend server.\n"
-           "\n"
-           "  --settings FILE  JSON file with the settings of this node\n"
-           "  --check          check the settings, print all findings and exit\n"
-           "  --help           print this text and exit\n"
-           "  --version        print the version and exit\n"
-           "\n"
-           "SIGTERM and SIGINT begin a planned stop: requests in flight are finished, and\n"
-           "the process exits with status 0. A second signal, or the bound in the settings,\n"
-           "breaks off what is left and gives status 3. SIGHUP reads the configuration and the\n"
-           "list of instances again.\n"
-           "Exit status: 0 success, 1 failure at run time, 2 wrong arguments or settings.\n";
-}
-
 } // namespace wisteriafork
--- a/src/daemon/commandline.h
+++ b/src/program/commandline.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 #include <tl/expected.hpp>
 
@@ -15,14 +16,15 @@
     Version,
 };
 
+// What the arguments of a node program ask for.
 struct CommandLine
 {
     CommandLineMode mode = CommandLineMode::Run;
     std::string settingsFile;
 };
 
-// Parses the arguments of the daemon. The error is a message for people.
-tl::expected<CommandLine, std::string> parseCommandLine(int argc, char **argv);
-std::string commandLineHelp();
+// Parses the arguments of a node program. `defaultSettingsFile` is used where they name no settings file; if it is empty, they must name
+// one. The error is a message for people.
+tl::expected<CommandLine, std::string> parseCommandLine(int argc, char **argv, std::string_view defaultSettingsFile);
 
 } // namespace wisteriafork
--- a/src/relay/headernames.h
+++ b/src/relay/headernames.h
@@ -17,8 +17,6 @@
     std::string expectedInstance;
     // Name of the service from whose host the request comes.
     std::string callerService;
-    // Name of the instance that answers, on refusals of requests that expect another one.
-    std::string instanceId;
     // Set by a backend server that did not run the request.
     std::string notExecuted;
     // Load of a backend server.
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -67,6 +67,7 @@
         , instances(parts, serving, peers)
         , callers(parts, instances)
         , peerHandler(parts, serving, std::move(callbacks.snapshot))
+        , snapshotReceived(std::move(callbacks.snapshotReceived))
         , readiness([this] { return parts.routes != nullptr && !parts.stopping && !draining; }, [this] { return parts.metrics.text(); })
         , callerServer(context, callers, callerLimits())
         , peerServer(context, peerHandler, relayPeerOptions(parts.settings))
@@ -76,7 +77,9 @@
         , tickTimer(context, TickInterval, [this] { tick(); })
     {
         parts.ownPeerAddress = text(parts.settings.peers);
-        parts.newerVersionSeen = std::move(callbacks.newerVersionSeen);
+        parts.newerVersionSeen = [this](const std::string &peer) {
+            askForSnapshot(peer);
+        };
         parts.observer = callbacks.observer;
     }
 
@@ -117,7 +120,9 @@
                 const EventNumber event = report.state == SuspectState::Banned ? EventNumber::RequestBlocked
                     : report.state == SuspectState::Suspected                  ? EventNumber::RequestSuspected
                                                                                : EventNumber::RequestCleared;
-                parts.log.decision(event, false, {fingerprint, parts.settings.service.value(), std::to_string(report.crashes.size())});
+                parts.log.decision(event, false, [&] {
+                    return std::vector<std::string>{fingerprint, parts.settings.service.value(), std::to_string(report.crashes.size())};
+                });
             }
         }
     }
@@ -183,6 +188,19 @@
         }
     }
 
+    void askForSnapshot(const std::string &address)
+    {
+        if (std::exchange(asking, true)) {
+            return;
+        }
+        peers.fetchSnapshot(address, [this, address](const std::optional<std::string> &text) {
+            asking = false;
+            if (text && snapshotReceived) {
+                snapshotReceived(address, *text);
+            }
+        });
+    }
+
     SteadyClock clock;
     RelayParts parts;
     ServingGateway serving;
@@ -190,6 +208,7 @@
     InstanceGateway instances;
     CallerHandler callers;
     PeerHandler peerHandler;
+    std::function<void(const std::string &, const std::string &)> snapshotReceived;
     ReadinessHandler readiness;
     HttpServer callerServer;
     PeerServer peerServer;
@@ -201,6 +220,7 @@
     TimePoint stopStarted;
     TimePoint phaseStarted;
     StopPhase stopPhase = StopPhase::Notice;
+    bool asking = false;
     bool lost = false;
     bool draining = false;
     unsigned ticks = 0;
@@ -228,18 +248,19 @@
                        {settings.node, "0", settings.service.value(), settings.domain.value(), text(settings.peers), "relay"});
 }
 
-void Relay::applyRoutes(RouteTable table)
+bool Relay::applyRoutes(RouteTable table)
 {
     const std::uint64_t inForce = configurationVersion();
     if (d->parts.routes && table.version() <= inForce) {
         if (table.version() < inForce) {
             d->parts.log.write(EventNumber::OlderConfigurationIgnored, {std::to_string(table.version()), std::to_string(inForce)});
         }
-        return;
+        return false;
     }
     d->parts.log.write(EventNumber::ConfigurationInForce,
                        {std::to_string(table.version()), std::to_string(table.routes().size()) + " routes"});
     d->parts.routes = std::make_shared<const RouteTable>(std::move(table));
+    return true;
 }
 
 std::uint64_t Relay::configurationVersion() const
@@ -285,9 +306,9 @@
     }
 }
 
-void Relay::fetchSnapshot(const std::string &peerAddress, std::function<void(std::optional<std::string>)> handler)
+void Relay::askForSnapshot(const std::string &peerAddress)
 {
-    d->peers.fetchSnapshot(peerAddress, std::move(handler));
+    d->askForSnapshot(peerAddress);
 }
 
 void Relay::setDraining(bool draining)
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -8,7 +8,6 @@
 
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,8 +25,8 @@
     {
         // Everything that is known of the published state, in a form that other nodes of this deployment understand.
         std::function<std::string()> snapshot;
-        // The node at the address has a newer configuration in force.
-        std::function<void(const std::string &peerAddress)> newerVersionSeen;
+        // Another node told its snapshot.
+        std::function<void(const std::string &peerAddress, const std::string &snapshot)> snapshotReceived;
         // Null if nobody wants reports.
         RelayObserver *observer = nullptr;
     };
@@ -38,8 +37,9 @@
     // Opens the listeners. Throws boost::system::system_error if that fails.
     void start();
 
-    // A configuration is to be in force from now on. Older versions than the one in force are ignored.
-    void applyRoutes(RouteTable table);
+    // A configuration is to be in force from now on. Versions that are not newer than the one in force are ignored.
+    // False for those.
+    bool applyRoutes(RouteTable table);
     std::uint64_t configurationVersion() const;
     void putInstance(Instance instance);
     void removeInstance(const std::string &id);
@@ -48,8 +48,9 @@
     void sourceLost(const std::string &reason, TimePoint lastAnswer);
     void sourceRestored();
 
-    // Asks another node for its snapshot; the handler gets nothing if there is no answer.
-    void fetchSnapshot(const std::string &peerAddress, std::function<void(std::optional<std::string>)> handler);
+    // Asks another node for its snapshot, as the relay itself does when that node has a newer configuration in force. While an answer is
+    // awaited, nothing more is asked, because each answer of a newer node would ask again.
+    void askForSnapshot(const std::string &peerAddress);
 
     // Tells callers to stay away, or to come again, while all requests are served as before.
     void setDraining(bool draining);
--- a/src/relay/relaycall.cpp
+++ b/src/relay/relaycall.cpp
@@ -225,9 +225,10 @@
         : unreachable                        ? PlacementOutcome::Unreachable
                                              : PlacementOutcome::Refused;
     m_parts.placement.ended(attempt.instance, m_route->name, outcome, m_parts.clock.now() - attempt.started);
-    m_parts.log.decision(EventNumber::RelayMoved, false,
-                         {std::string(requestId()), m_route->name, attempt.instance, describeNotRun(result.reason),
-                          std::to_string(m_parts.directory.size())});
+    m_parts.log.decision(EventNumber::RelayMoved, false, [&] {
+        return std::vector<std::string>{std::string(requestId()), m_route->name, attempt.instance, describeNotRun(result.reason),
+                                        std::to_string(m_parts.directory.size())};
+    });
     if (reached) {
         noteReached(attempt.instance);
     }
--- a/src/relay/relaycallanswers.cpp
+++ b/src/relay/relaycallanswers.cpp
@@ -80,14 +80,18 @@
     if (ordinary) {
         m_parts.metrics.answered(elapsed());
     }
-    if (m_parts.log.accepts(ordinary)) {
-        m_parts.log.decision(EventNumber::RelayAnswered, ordinary,
-                             {std::string(requestId()), m_route == nullptr ? std::string() : m_route->name,
-                              m_tried.empty() ? std::string() : m_tried.back(), event, std::to_string(response.status),
-                              decimalText(toSeconds(elapsed())), std::to_string(m_attempts.size()),
-                              m_route == nullptr ? std::string() : decimalText(m_parts.pressure.of(m_route->name)),
-                              std::to_string(m_routes ? m_routes->version() : 0), m_inner ? "inner" : m_exchange->remoteAddress});
-    }
+    m_parts.log.decision(EventNumber::RelayAnswered, ordinary, [&] {
+        return std::vector<std::string>{std::string(requestId()),
+                                        m_route == nullptr ? std::string() : m_route->name,
+                                        m_tried.empty() ? std::string() : m_tried.back(),
+                                        event,
+                                        std::to_string(response.status),
+                                        decimalText(toSeconds(elapsed())),
+                                        std::to_string(m_attempts.size()),
+                                        m_route == nullptr ? std::string() : decimalText(m_parts.pressure.of(m_route->name)),
+                                        std::to_string(m_routes ? m_routes->version() : 0),
+                                        m_inner ? std::string("inner") : m_exchange->remoteAddress};
+    });
     m_exchange->respond(std::move(response));
 }
 
--- a/src/relay/relaylog.cpp
+++ b/src/relay/relaylog.cpp
@@ -21,20 +21,16 @@
     m_log.write(number, values);
 }
 
-void RelayLog::decision(EventNumber number, bool ordinary, const std::vector<std::string> &values)
-{
-    if (accepts(ordinary)) {
-        ++(ordinary ? m_ordinary : m_unusual);
-        m_log.write(number, values);
-    }
-}
-
-bool RelayLog::accepts(bool ordinary)
+bool RelayLog::claimLine(bool ordinary)
 {
     refill();
-    const bool accepted = ordinary ? m_ordinary < OrdinaryLines : m_unusual < UnusualLines;
-    m_dropped += accepted ? 0 : 1;
-    return accepted;
+    unsigned &lines = ordinary ? m_ordinary : m_unusual;
+    if (lines >= (ordinary ? OrdinaryLines : UnusualLines)) {
+        ++m_dropped;
+        return false;
+    }
+    ++lines;
+    return true;
 }
 
 void RelayLog::refill()
--- a/src/relay/relaylog.h
+++ b/src/relay/relaylog.h
@@ -18,11 +18,18 @@
     // An event of the process or of what it believes; never dropped.
     void write(EventNumber number, const std::vector<std::string> &values);
     // A decision on a request. Ordinary ones are written at a lower rate. Dropped lines are counted and reported once a second.
-    void decision(EventNumber number, bool ordinary, const std::vector<std::string> &values);
-    // True if a line of this kind would be written now; spares the formatting of dropped lines.
-    bool accepts(bool ordinary);
+    // `makeValues` returns the values of the line; it is called only if the line is written, which spares the formatting of dropped ones.
+    template <typename MakeValues>
+    void decision(EventNumber number, bool ordinary, const MakeValues &makeValues)
+    {
+        if (claimLine(ordinary)) {
+            m_log.write(number, makeValues());
+        }
+    }
 
 private:
+    // True if a line of this kind may be written now; it is then counted.
+    bool claimLine(bool ordinary);
     void refill();
 
     EventLog &m_log;
--- a/tests/base/hashing_test.cpp
+++ b/tests/base/hashing_test.cpp
@@ -16,15 +16,3 @@
 
     CHECK(hashParts(first) != hashParts(second));
 }
-
-// Guards against nodes that disagree on the order of members for a key.
-TEST(Hashing, ranksMembersInAStrictOrder)
-{
-    const std::array<std::string_view, 1> part{"order-17"};
-    const RequestKey key = hashParts(part);
-    const NodeId first("registar-osijek-1");
-    const NodeId second("registar-vukovar-1");
-
-    CHECK(outranks(key, first, second) != outranks(key, second, first));
-    CHECK_FALSE(outranks(key, first, first));
-}
--- /dev/null
+++ b/tests/program/nodeprogram_test.cpp
@@ -0,0 +1,125 @@
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <vector>
+
+#include "program/nodeprogram.h"
+
+#include <unistd.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace wisteriafork;
+
+TEST_GROUP(NodeProgram)
+{
+    const std::string file = std::filesystem::temp_directory_path() / ("wisteriafork-program-" + std::to_string(::getpid()) + ".json");
+    std::ostringstream out;
+    std::ostringstream err;
+    unsigned runs = 0;
+    NodeProgram program{.name = "some-node", .summary = "Does something.", .prepare = [this](const std::string &, const std::string &text) {
+                            return prepare(text);
+                        }};
+
+    void teardown() override
+    {
+        std::filesystem::remove(file);
+    }
+
+    Checked<std::function<int()>> prepare(const std::string &text)
+    {
+        if (text == "wrong") {
+            return tl::unexpected(Findings{{.message = "first problem"}, {.message = "second problem"}});
+        }
+        return std::function<int()>([this, text] {
+            ++runs;
+            if (text == "broken") {
+                throw std::runtime_error("address in use");
+            }
+            return 0;
+        });
+    }
+
+    int run(std::vector<std::string> arguments)
+    {
+        arguments.insert(arguments.begin(), program.name);
+        std::vector<char *> pointers;
+        for (std::string &argument : arguments) {
+            pointers.push_back(argument.data());
+        }
+        pointers.push_back(nullptr);
+        return runNodeProgram(static_cast<int>(arguments.size()), pointers.data(), program, out, err);
+    }
+
+    int runWith(const std::string &text, std::vector<std::string> arguments)
+    {
+        std::ofstream(file) << text;
+        arguments.insert(arguments.end(), {"--settings", file});
+        return run(std::move(arguments));
+    }
+};
+
+TEST(NodeProgram, TheNodeRunsWithTheNamedSettings)
+{
+    LONGS_EQUAL(0, runWith("good", {}));
+    LONGS_EQUAL(1, runs);
+}
+
+TEST(NodeProgram, TheDefaultSettingsFileIsUsedWhereNoneIsNamed)
+{
+    std::ofstream(file) << "good";
+    program.defaultSettingsFile = file;
+
+    LONGS_EQUAL(0, run({}));
+    LONGS_EQUAL(1, runs);
+}
+
+TEST(NodeProgram, AMissingSettingsOptionIsAnErrorWithoutADefault)
+{
+    LONGS_EQUAL(2, run({}));
+    STRCMP_CONTAINS("some-node: --settings is missing", err.str().c_str());
+    LONGS_EQUAL(0, runs);
+}
+
+TEST(NodeProgram, ACheckReportsAllProblemsWithTheFileAndDoesNotRun)
+{
+    LONGS_EQUAL(2, runWith("wrong", {"--check"}));
+    STRCMP_CONTAINS((file + ": error: first problem\n" + file + ": error: second problem\n").c_str(), err.str().c_str());
+}
+
+TEST(NodeProgram, ACheckOfGoodSettingsDoesNotStartTheNode)
+{
+    LONGS_EQUAL(0, runWith("good", {"--check"}));
+    LONGS_EQUAL(0, runs);
+}
+
+TEST(NodeProgram, AnUnknownOptionAndASurplusArgumentAreRefused)
+{
+    LONGS_EQUAL(2, runWith("good", {"--colour"}));
+    LONGS_EQUAL(2, runWith("good", {"surplus"}));
+    STRCMP_CONTAINS("unknown option or missing value: --colour", err.str().c_str());
+    STRCMP_CONTAINS("unexpected argument: surplus", err.str().c_str());
+    LONGS_EQUAL(0, runs);
+}
+
+TEST(NodeProgram, AFileThatCannotBeReadIsReported)
+{
+    LONGS_EQUAL(2, run({"--settings", file + ".missing"}));
+    STRCMP_CONTAINS("the file cannot be read", err.str().c_str());
+}
+
+TEST(NodeProgram, AFailureWhileRunningGivesItsReasonAndStatusOne)
+{
+    LONGS_EQUAL(1, runWith("broken", {}));
+    STRCMP_CONTAINS("some-node: address in use", err.str().c_str());
+}
+
+TEST(NodeProgram, HelpNamesTheProgramAndTheDefaultFile)
+{
+    program.defaultSettingsFile = file;
+
+    LONGS_EQUAL(0, run({"--help"}));
+    STRCMP_CONTAINS("Usage: some-node [--settings FILE] [--check]", out.str().c_str());
+    STRCMP_CONTAINS(file.c_str(), out.str().c_str());
+}
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -349,9 +349,9 @@
     LONGS_EQUAL(1, front.relay.configurationVersion());
 }
 
-TEST(Relay, ANodeThatSeesANewerVersionAtAPeerIsToldSo)
+TEST(Relay, ANodeThatSeesANewerVersionAtAPeerReadsItsSnapshot)
 {
-    std::promise<std::string> seen;
+    std::promise<std::pair<std::string, std::string>> received;
     asio::io_context &context = running.context;
     RelaySettings settings = front.settings;
     settings.callers = freeEndpoint();
@@ -360,10 +360,10 @@
     std::atomic<bool> told = false;
     Relay stale(context, settings, front.log,
                 {.snapshot = [] { return std::string(); },
-                 .newerVersionSeen =
-                     [&](const std::string &peer) {
+                 .snapshotReceived =
+                     [&](const std::string &peer, const std::string &text) {
                          if (!told.exchange(true)) {
-                             seen.set_value(peer);
+                             received.set_value({peer, text});
                          }
                      }});
     front.run([&] {
@@ -380,13 +380,9 @@
     client.send(request, {}, [&](const auto &) { answered.set_value(); });
     answered.get_future().wait();
 
-    STRCMP_EQUAL(endpointText(back.settings.peers).c_str(), seen.get_future().get().c_str());
-    std::promise<std::string> snapshot;
-    front.run([&] {
-        stale.fetchSnapshot(endpointText(back.settings.peers),
-                            [&](const std::optional<std::string> &text) { snapshot.set_value(text.value_or(std::string())); });
-    });
-    STRCMP_EQUAL("state", snapshot.get_future().get().c_str());
+    const auto [peer, snapshot] = received.get_future().get();
+    STRCMP_EQUAL(endpointText(back.settings.peers).c_str(), peer.c_str());
+    STRCMP_EQUAL("state", snapshot.c_str());
     // The relay must not run on while it is destroyed.
     running.stop();
 }
--- a/tests/relay/relaysetup.h
+++ b/tests/relay/relaysetup.h
@@ -23,7 +23,6 @@
             .seal = "x-seal",
             .expectedInstance = "x-expect",
             .callerService = "x-caller",
-            .instanceId = "x-instance",
             .notExecuted = "x-not-executed",
             .instanceLoad = "x-load"};
 }
