Separate the decisions of a node from its listeners and connections

RelayNode holds the decisions and the handlers of requests and is driven by wake and tick; Relay keeps listeners, connections, timers and the stop. HttpClient and PeerPool stand behind RequestSender and PeerSender, which ServingGateway and PeerGateway now get. No behaviour changes.

Ruled out: a second set of handlers for the model, which would prove nothing about the product.

--- a/src/daemon/administration.cpp
+++ b/src/daemon/administration.cpp
@@ -1,6 +1,6 @@
 #include "daemon/administration.h"
 
-#include <sstream>
+#include "net/endpoint.h"
 
 namespace wisteriafork {
 
@@ -11,19 +11,17 @@
 
 NodeStatus Administration::status() const
 {
-    std::ostringstream peers;
-    peers << m_settings.relay.peers;
-    const std::size_t open = m_relay.openRequests();
+    const std::size_t open = m_relay.node().openRequests();
     return {.name = m_settings.relay.node,
             .service = m_settings.relay.service,
             .domain = m_settings.relay.domain,
-            .peerAddress = peers.str(),
+            .peerAddress = endpointText(m_settings.relay.peers),
             .programVersion = WISTERIAFORK_VERSION,
             .uptime = std::chrono::duration_cast<std::chrono::seconds>(std::chrono::steady_clock::now() - m_started),
             .draining = m_relay.isDraining(),
             .drained = m_relay.isDraining() && open == 0,
             .requestsInFlight = open,
-            .configurationVersion = m_relay.configurationVersion()};
+            .configurationVersion = m_relay.node().configurationVersion()};
 }
 
 OutcomesReport Administration::outcomes() const
@@ -33,7 +31,7 @@
 
 std::vector<Instance> Administration::instances() const
 {
-    return m_relay.instances();
+    return m_relay.node().instances();
 }
 
 std::optional<Configuration> Administration::configuration() const
@@ -48,7 +46,7 @@
 
 std::string Administration::metricsText() const
 {
-    return m_relay.metricsText();
+    return m_relay.node().metricsText();
 }
 
 void Administration::drain()
--- a/src/daemon/publishedfiles.cpp
+++ b/src/daemon/publishedfiles.cpp
@@ -98,7 +98,7 @@
         m_log.write(EventNumber::PublishedValueRejected, {source, describeFindings(configuration.error())});
         return false;
     }
-    if (!m_relay.applyRoutes(routesOf(*configuration))) {
+    if (!m_relay.node().applyRoutes(routesOf(*configuration))) {
         return false;
     }
     m_configurationText = text;
@@ -110,7 +110,7 @@
 {
     Checked<std::vector<Instance>> instances = parseInstanceList(text);
     if (instances) {
-        m_relay.replaceInstances(std::move(*instances));
+        m_relay.node().replaceInstances(std::move(*instances));
     } else {
         m_log.write(EventNumber::PublishedValueRejected, {m_instancesFile.name, describeFindings(instances.error())});
     }
--- a/src/net/endpoint.cpp
+++ b/src/net/endpoint.cpp
@@ -2,7 +2,7 @@
 
 #include <charconv>
 #include <cstdint>
-#include <string>
+#include <sstream>
 
 namespace wisteriafork {
 
@@ -27,4 +27,11 @@
     return Tcp::endpoint(address, port);
 }
 
+std::string endpointText(const Tcp::endpoint &endpoint)
+{
+    std::ostringstream stream;
+    stream << endpoint;
+    return stream.str();
+}
+
 } // namespace wisteriafork
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -3,6 +3,7 @@
 #include "net/asio.h"
 #include "net/clientexchange.h"
 #include "net/httplimits.h"
+#include "net/requestsender.h"
 
 #include <chrono>
 #include <cstddef>
@@ -31,15 +32,13 @@
 };
 
 // HTTP/1.1 client with a bounded pool of keep-alive connections to one server.
-class HttpClient
+class HttpClient : public RequestSender
 {
 public:
     HttpClient(asio::io_context &context, const HttpClientOptions &options);
-    ~HttpClient();
+    ~HttpClient() override;
 
-    // Sends the request with the given additional header fields. The handler is called once, on any worker, unless the exchange is
-    // cancelled.
-    std::shared_ptr<ClientExchange> send(std::shared_ptr<const HttpRequest> request, HttpHeaders extra, AnswerHandler handler);
+    std::shared_ptr<ClientExchange> send(std::shared_ptr<const HttpRequest> request, HttpHeaders extra, AnswerHandler handler) override;
     // Closes all connections.
     void stop();
 
--- a/src/net/peerpool.h
+++ b/src/net/peerpool.h
@@ -3,6 +3,7 @@
 #include "net/asio.h"
 #include "net/clientexchange.h"
 #include "net/peeroptions.h"
+#include "net/peersender.h"
 
 #include <memory>
 #include <string>
@@ -10,16 +11,14 @@
 namespace wisteriafork {
 
 // Outgoing HTTP/2 sessions, one per peer address, opened on demand and closed when idle.
-class PeerPool
+class PeerPool : public PeerSender
 {
 public:
     PeerPool(asio::io_context &context, const PeerOptions &options);
-    ~PeerPool();
+    ~PeerPool() override;
 
-    // Sends a request as one stream to the peer at `address` ("127.0.0.1:7101"). The handler is called once, on any worker, unless the
-    // exchange is cancelled.
     std::shared_ptr<ClientExchange> send(const std::string &address, std::shared_ptr<const HttpRequest> request, HttpHeaders extra,
-                                         AnswerHandler handler);
+                                         AnswerHandler handler) override;
     // Closes all sessions.
     void stop();
 
--- a/src/relay/peergateway.cpp
+++ b/src/relay/peergateway.cpp
@@ -30,7 +30,7 @@
     return options;
 }
 
-PeerGateway::PeerGateway(RelayParts &parts) : m_parts(parts), m_pool(parts.context, relayPeerOptions(parts.settings))
+PeerGateway::PeerGateway(RelayParts &parts, PeerSender &peers) : m_parts(parts), m_peers(peers)
 {
 }
 
@@ -47,19 +47,19 @@
         }
         asio::post(m_parts.context, [handler, outcome = std::move(outcome)]() mutable { handler(std::move(outcome)); });
     };
-    return m_pool.send(address, request.http, encodeRelayRequest(request, m_parts.settings.headers, m_parts.clock.now()),
-                       std::move(finished));
+    return m_peers.send(address, request.http, encodeRelayRequest(request, m_parts.settings.headers, m_parts.clock.now()),
+                        std::move(finished));
 }
 
 void PeerGateway::fetchSnapshot(const std::string &address, std::function<void(std::optional<std::string>)> handler)
 {
     HttpHeaders fields;
     fields.add(":path", SnapshotPath);
-    m_pool.send(address, std::make_shared<HttpRequest>(), std::move(fields),
-                [handler = std::move(handler)](tl::expected<HttpResponse, ExchangeError> result) {
-                    const bool answered = result && result->status == 200 && !result->body.empty();
-                    handler(answered ? std::optional(std::move(result->body)) : std::nullopt);
-                });
+    m_peers.send(address, std::make_shared<HttpRequest>(), std::move(fields),
+                 [handler = std::move(handler)](tl::expected<HttpResponse, ExchangeError> result) {
+                     const bool answered = result && result->status == 200 && !result->body.empty();
+                     handler(answered ? std::optional(std::move(result->body)) : std::nullopt);
+                 });
 }
 
 void PeerGateway::sendSuspects(const std::string &address, const std::string &encodedSuspects)
@@ -68,12 +68,7 @@
     fields.add(":path", SuspectsPath);
     auto request = std::make_shared<HttpRequest>();
     request->body = encodedSuspects;
-    m_pool.send(address, std::move(request), std::move(fields), [](const tl::expected<HttpResponse, ExchangeError> &) {});
-}
-
-void PeerGateway::stop()
-{
-    m_pool.stop();
+    m_peers.send(address, std::move(request), std::move(fields), [](const tl::expected<HttpResponse, ExchangeError> &) {});
 }
 
 } // namespace wisteriafork
--- a/src/relay/peergateway.h
+++ b/src/relay/peergateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "net/peerpool.h"
+#include "net/peeroptions.h"
+#include "net/peersender.h"
 #include "relay/attemptoutcome.h"
 #include "relay/relayparts.h"
 #include "relay/relayrequest.h"
@@ -15,7 +16,8 @@
 class PeerGateway
 {
 public:
-    explicit PeerGateway(RelayParts &parts);
+    // Both must outlive the object.
+    PeerGateway(RelayParts &parts, PeerSender &peers);
 
     // The handler is called once, after this returned, unless the exchange is cancelled.
     std::shared_ptr<ClientExchange> send(const std::string &address, const RelayRequest &request, AttemptHandler handler);
@@ -23,11 +25,10 @@
     void fetchSnapshot(const std::string &address, std::function<void(std::optional<std::string>)> handler);
     // Tells a node which requests are suspected of crashing backend servers. Nothing comes back; reports are repeated by their source.
     void sendSuspects(const std::string &address, const std::string &encodedSuspects);
-    void stop();
 
 private:
     RelayParts &m_parts;
-    PeerPool m_pool;
+    PeerSender &m_peers;
 };
 
 // Path at which nodes give what they know of the published state.
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -1,20 +1,15 @@
 #include "relay/relay.h"
 
-#include "net/codec.h"
+#include "net/endpoint.h"
+#include "net/httpclient.h"
 #include "net/httpserver.h"
+#include "net/peerpool.h"
 #include "net/peerserver.h"
 #include "net/repeatingtimer.h"
 #include "net/steadyclock.h"
-#include "relay/callerhandler.h"
-#include "relay/instancegateway.h"
 #include "relay/peergateway.h"
-#include "relay/peerhandler.h"
 #include "relay/readinesshandler.h"
-#include "relay/servinggateway.h"
-
-#include <cinttypes>
-#include <cstdio>
-#include <sstream>
+#include "relay/relayparts.h"
 
 namespace wisteriafork {
 
@@ -29,7 +24,10 @@
 constexpr std::chrono::milliseconds ClosingTime{700};
 // Time before the process is killed at which it ends by itself.
 constexpr std::chrono::milliseconds StopReserve{400};
-constexpr unsigned TicksPerLoadLine = 10;
+// Connections to the backend server: more than it has slots, because a connection is given up after some failures.
+constexpr std::size_t ServerConnections = 512;
+// The backend server is on this host, so a connection is made at once or not at all.
+constexpr std::chrono::milliseconds ServerConnectTimeout{500};
 constexpr std::size_t LargestBody = std::size_t{64} * 1024 * 1024;
 constexpr std::chrono::seconds CallerIdle{120};
 
@@ -42,11 +40,13 @@
     return limits;
 }
 
-std::string text(const Tcp::endpoint &endpoint)
+HttpClientOptions serverOptions(const RelaySettings &settings)
 {
-    std::ostringstream stream;
-    stream << endpoint;
-    return stream.str();
+    return {.server = settings.server,
+            .connections = ServerConnections,
+            .connectTimeout = ServerConnectTimeout,
+            .allowUndelimited = true,
+            .echoedField = settings.serverEchoesIds ? settings.headers.requestId : std::string()};
 }
 
 } // namespace
@@ -60,94 +60,35 @@
         Closing,
     };
 
-    Private(asio::io_context &context, RelaySettings settings, EventLog &log, Callbacks callbacks)
-        : parts(context, std::move(settings), clock, log)
-        , serving(parts)
-        , peers(parts)
-        , instances(parts, serving, peers)
-        , callers(parts, instances)
-        , peerHandler(parts, serving, std::move(callbacks.snapshot))
-        , snapshotReceived(std::move(callbacks.snapshotReceived))
-        , readiness([this] { return parts.routes != nullptr && !parts.stopping && !draining; }, [this] { return parts.metrics.text(); })
-        , callerServer(context, callers, callerLimits())
-        , peerServer(context, peerHandler, relayPeerOptions(parts.settings))
+    Private(asio::io_context &context, RelaySettings settings, EventLog &log, RelayNode::Callbacks callbacks)
+        : server(context, serverOptions(settings))
+        , peerPool(context, relayPeerOptions(settings))
+        , node(context, std::move(settings), clock, log, std::move(callbacks), server, peerPool)
+        , parts(node.parts())
+        , readiness([this] { return parts.routes != nullptr && !parts.stopping && !draining; }, [this] { return node.metricsText(); })
+        , callerServer(context, node.callerHandler(), callerLimits())
+        , peerServer(context, node.peerHandler(), relayPeerOptions(parts.settings))
         , readinessServer(context, readiness, HttpLimits{})
         , metricsServer(context, readiness.metrics(), HttpLimits{})
         , wakeTimer(context, WakeInterval, [this] { wake(); })
-        , tickTimer(context, TickInterval, [this] { tick(); })
+        , tickTimer(context, TickInterval, [this] { node.tick(); })
     {
-        parts.ownPeerAddress = text(parts.settings.peers);
-        parts.newerVersionSeen = [this](const std::string &peer) {
-            askForSnapshot(peer);
-        };
-        parts.observer = callbacks.observer;
     }
 
     void wake()
     {
-        callers.wake();
-        serving.poll();
+        node.wake();
         if (parts.stopping) {
             checkStop();
         }
     }
 
-    void tick()
-    {
-        parts.directory.tick();
-        serving.tick();
-        reportSuspects();
-        logLoad();
-        if (const Instance *own = parts.directory.atAddress(text(parts.settings.server))) {
-            parts.queue.setSlots(own->slots);
-        }
-    }
-
-    void reportSuspects()
-    {
-        parts.crashGuard.tick();
-        if (const std::optional<CrashSuspects> reports = parts.crashGuard.takeReports()) {
-            const std::string encoded = encodeMessage(*reports);
-            for (const std::string &address : parts.directory.peerAddresses()) {
-                if (address != parts.ownPeerAddress) {
-                    peers.sendSuspects(address, encoded);
-                }
-            }
-            for (const SuspectReport &report : reports->suspects) {
-                char fingerprint[40];
-                std::snprintf(fingerprint, sizeof(fingerprint), "%016" PRIx64 "%016" PRIx64, report.fingerprint.high,
-                              report.fingerprint.low);
-                const EventNumber event = report.state == SuspectState::Banned ? EventNumber::RequestBlocked
-                    : report.state == SuspectState::Suspected                  ? EventNumber::RequestSuspected
-                                                                               : EventNumber::RequestCleared;
-                parts.log.decision(event, false, [&] {
-                    return std::vector<std::string>{fingerprint, parts.settings.service.value(), std::to_string(report.crashes.size())};
-                });
-            }
-        }
-    }
-
-    // One line a second while there is work.
-    void logLoad()
-    {
-        const ServingReport report = parts.queue.report();
-        if (++ticks % TicksPerLoadLine != 0 || (report.running == 0 && callers.isIdle())) {
-            return;
-        }
-        char pressure[16];
-        std::snprintf(pressure, sizeof(pressure), "%.3f", report.pressure);
-        parts.log.write(EventNumber::ServingLoad,
-                        {std::to_string(report.limit), std::to_string(report.running), std::to_string(report.queued),
-                         std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(parts.queue.takeGreatestWait()).count()),
-                         pressure, std::to_string(callers.openCount())});
-    }
-
     // Callers are told to stay away first, while everything is served as before, so that the instance can be reached until the last moment.
     // Then other nodes are told, and the process ends as soon as what it has taken is answered.
     void checkStop()
     {
         const TimePoint now = clock.now();
-        const bool idle = callers.isIdle() && serving.isIdle();
+        const bool idle = node.isIdle();
         parts.refusesCallers = now - stopStarted >= parts.settings.stop.accepting;
         const bool atBound = now - stopStarted >= parts.settings.stop.grace - StopReserve;
         const bool closed = callerServer.connectionCount() == 0 || now - phaseStarted >= ClosingTime;
@@ -181,34 +122,18 @@
     {
         wakeTimer.stop();
         tickTimer.stop();
-        serving.stop();
-        peers.stop();
+        server.stop();
+        peerPool.stop();
         if (const auto done = std::exchange(stopped, nullptr)) {
             done();
         }
     }
 
-    void askForSnapshot(const std::string &address)
-    {
-        if (std::exchange(asking, true)) {
-            return;
-        }
-        peers.fetchSnapshot(address, [this, address](const std::optional<std::string> &text) {
-            asking = false;
-            if (text && snapshotReceived) {
-                snapshotReceived(address, *text);
-            }
-        });
-    }
-
     SteadyClock clock;
-    RelayParts parts;
-    ServingGateway serving;
-    PeerGateway peers;
-    InstanceGateway instances;
-    CallerHandler callers;
-    PeerHandler peerHandler;
-    std::function<void(const std::string &, const std::string &)> snapshotReceived;
+    HttpClient server;
+    PeerPool peerPool;
+    RelayNode node;
+    RelayParts &parts;
     ReadinessHandler readiness;
     HttpServer callerServer;
     PeerServer peerServer;
@@ -220,13 +145,10 @@
     TimePoint stopStarted;
     TimePoint phaseStarted;
     StopPhase stopPhase = StopPhase::Notice;
-    bool asking = false;
-    bool lost = false;
     bool draining = false;
-    unsigned ticks = 0;
 };
 
-Relay::Relay(asio::io_context &context, RelaySettings settings, EventLog &log, Callbacks callbacks)
+Relay::Relay(asio::io_context &context, RelaySettings settings, EventLog &log, RelayNode::Callbacks callbacks)
     : d(std::make_unique<Private>(context, std::move(settings), log, std::move(callbacks)))
 {
 }
@@ -245,70 +167,17 @@
     d->wakeTimer.start();
     d->tickTimer.start();
     d->parts.log.write(EventNumber::NodeStarted,
-                       {settings.node, "0", settings.service.value(), settings.domain.value(), text(settings.peers), "relay"});
-}
-
-bool Relay::applyRoutes(RouteTable table)
-{
-    const std::uint64_t inForce = configurationVersion();
-    if (d->parts.routes && table.version() <= inForce) {
-        if (table.version() < inForce) {
-            d->parts.log.write(EventNumber::OlderConfigurationIgnored, {std::to_string(table.version()), std::to_string(inForce)});
-        }
-        return false;
-    }
-    d->parts.log.write(EventNumber::ConfigurationInForce,
-                       {std::to_string(table.version()), std::to_string(table.routes().size()) + " routes"});
-    d->parts.routes = std::make_shared<const RouteTable>(std::move(table));
-    return true;
+                       {settings.node, "0", settings.service.value(), settings.domain.value(), endpointText(settings.peers), "relay"});
 }
 
-std::uint64_t Relay::configurationVersion() const
+RelayNode &Relay::node()
 {
-    return d->parts.version();
+    return d->node;
 }
 
-void Relay::putInstance(Instance instance)
+const RelayNode &Relay::node() const
 {
-    d->parts.log.write(EventNumber::InstanceListed,
-                       {instance.id, instance.service.value(), instance.address, instance.draining ? "draining" : "ready"});
-    d->parts.directory.put(std::move(instance));
-}
-
-void Relay::removeInstance(const std::string &id)
-{
-    d->parts.log.write(EventNumber::InstanceRemoved, {id});
-    d->parts.directory.remove(id);
-    if (d->parts.directory.find(id) == nullptr) {
-        d->parts.placement.forget(id);
-    }
-}
-
-void Relay::replaceInstances(std::vector<Instance> instances)
-{
-    d->parts.log.write(EventNumber::InstancesRead, {std::to_string(instances.size())});
-    d->parts.directory.replaceAll(std::move(instances));
-}
-
-void Relay::sourceLost(const std::string &reason, TimePoint lastAnswer)
-{
-    if (!std::exchange(d->lost, true)) {
-        d->parts.log.write(EventNumber::SourceLost, {reason});
-        d->parts.directory.sourceLost(lastAnswer);
-    }
-}
-
-void Relay::sourceRestored()
-{
-    if (std::exchange(d->lost, false)) {
-        d->parts.log.write(EventNumber::SourceRestored, {});
-        d->parts.directory.sourceRestored();
-    }
-}
-
-void Relay::askForSnapshot(const std::string &peerAddress)
-{
-    d->askForSnapshot(peerAddress);
+    return d->node;
 }
 
 void Relay::setDraining(bool draining)
@@ -323,21 +192,6 @@
     return d->draining || d->parts.stopping;
 }
 
-std::size_t Relay::openRequests() const
-{
-    return d->callers.openCount() + d->serving.openCount();
-}
-
-std::vector<Instance> Relay::instances() const
-{
-    return d->parts.directory.all();
-}
-
-std::string Relay::metricsText() const
-{
-    return d->parts.metrics.text();
-}
-
 void Relay::stop(std::function<void()> stopped)
 {
     if (d->parts.stopping) {
--- a/src/relay/servinggateway.cpp
+++ b/src/relay/servinggateway.cpp
@@ -7,24 +7,11 @@
 
 namespace {
 
-// Connections to the backend server: more than it has slots, because a connection is given up after some failures.
-constexpr std::size_t ServerConnections = 512;
-// The backend server is on this host, so a connection is made at once or not at all.
-constexpr std::chrono::milliseconds ConnectTimeout{500};
 constexpr unsigned MisdirectedStatus = 421;
 // Time for which requests for an instance that is not at this address any more are refused without asking. An instance may start again
 // under its old name.
 constexpr Duration MisdirectedMemory = std::chrono::milliseconds(1000);
 
-HttpClientOptions clientOptions(const RelaySettings &settings)
-{
-    return {.server = settings.server,
-            .connections = ServerConnections,
-            .connectTimeout = ConnectTimeout,
-            .allowUndelimited = true,
-            .echoedField = settings.serverEchoesIds ? settings.headers.requestId : std::string()};
-}
-
 ServingRequest servingRequest(CallId id, const RelayRequest &request)
 {
     return {.id = id,
@@ -42,7 +29,7 @@
 
 } // namespace
 
-ServingGateway::ServingGateway(RelayParts &parts) : m_parts(parts), m_client(parts.context, clientOptions(parts.settings))
+ServingGateway::ServingGateway(RelayParts &parts, RequestSender &server) : m_parts(parts), m_server(server)
 {
 }
 
@@ -104,11 +91,6 @@
     poll();
 }
 
-void ServingGateway::stop()
-{
-    m_client.stop();
-}
-
 void ServingGateway::start(CallId id)
 {
     Call &call = m_calls.at(id);
@@ -130,7 +112,7 @@
     call.started = m_parts.clock.now();
     m_parts.running.started(requestId(call.request),
                             {.route = call.request.route, .priority = call.request.priority, .repeat = call.request.repeat});
-    call.exchange = m_client.send(call.request.http, std::move(extra),
+    call.exchange = m_server.send(call.request.http, std::move(extra),
                                   [this, id](tl::expected<HttpResponse, ExchangeError> result) { answered(id, std::move(result)); });
 }
 
--- a/src/relay/servinggateway.h
+++ b/src/relay/servinggateway.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "net/httpclient.h"
+#include "net/requestsender.h"
 #include "relay/attemptoutcome.h"
 #include "relay/relayparts.h"
 #include "relay/relayrequest.h"
@@ -14,7 +14,8 @@
 class ServingGateway
 {
 public:
-    explicit ServingGateway(RelayParts &parts);
+    // Both must outlive the object; `server` sends to the local backend server.
+    ServingGateway(RelayParts &parts, RequestSender &server);
 
     // Queues or starts the request. The handler is called once, after this returned, unless the request is cancelled.
     CallId serve(RelayRequest request, AttemptHandler handler);
@@ -35,8 +36,6 @@
         return m_calls.size();
     }
 
-    void stop();
-
 private:
     struct Call
     {
@@ -58,7 +57,7 @@
     ServingReport reportFor(const std::string &route) const;
 
     RelayParts &m_parts;
-    HttpClient m_client;
+    RequestSender &m_server;
     std::unordered_map<CallId, Call> m_calls;
     // Instances that were expected here and are not, until when that is believed.
     std::unordered_map<std::string, TimePoint> m_misdirected;
--- a/tests/daemon/publishedfiles_test.cpp
+++ b/tests/daemon/publishedfiles_test.cpp
@@ -71,8 +71,8 @@
 
     files.reread();
 
-    LONGS_EQUAL(4, relay.configurationVersion());
-    LONGS_EQUAL(1, relay.instances().size());
+    LONGS_EQUAL(4, relay.node().configurationVersion());
+    LONGS_EQUAL(1, relay.node().instances().size());
     STRCMP_EQUAL(printConfiguration(configurationOf(4)).c_str(), files.snapshot().c_str());
 }
 
@@ -86,8 +86,8 @@
     write("instances.json", "{");
     files.reread();
 
-    LONGS_EQUAL(4, relay.configurationVersion());
-    LONGS_EQUAL(1, relay.instances().size());
+    LONGS_EQUAL(4, relay.node().configurationVersion());
+    LONGS_EQUAL(1, relay.node().instances().size());
     LONGS_EQUAL(2, count("published-value-rejected"));
 }
 
@@ -101,7 +101,7 @@
     files.reread();
     files.reread();
 
-    LONGS_EQUAL(1, relay.instances().size());
+    LONGS_EQUAL(1, relay.node().instances().size());
     LONGS_EQUAL(1, count("source-lost"));
 }
 
@@ -114,7 +114,7 @@
     write("configuration.json", printConfiguration(configurationOf(3)));
     files.reread();
 
-    LONGS_EQUAL(4, relay.configurationVersion());
+    LONGS_EQUAL(4, relay.node().configurationVersion());
     LONGS_EQUAL(4, parseConfiguration(files.snapshot())->version);
 }
 
@@ -122,6 +122,6 @@
 {
     files.takeSnapshot("10.0.0.2:90", printConfiguration(configurationOf(9)));
 
-    LONGS_EQUAL(9, relay.configurationVersion());
+    LONGS_EQUAL(9, relay.node().configurationVersion());
     LONGS_EQUAL(9, files.configuration()->version);
 }
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -48,11 +48,11 @@
     void setup() override
     {
         front.run([this] {
-            front.relay.applyRoutes(
+            front.relay.node().applyRoutes(
                 RouteTable(1,
                            {testRoute("read", "/read/", RequestKind::Idempotent), testRoute("book", "/book/", RequestKind::NonIdempotent),
                             testRoute("short", "/short/", RequestKind::NonIdempotent, 200ms)}));
-            front.relay.putInstance(back.instance("i-1"));
+            front.relay.node().putInstance(back.instance("i-1"));
         });
     }
 
@@ -66,7 +66,7 @@
         // Another failure domain, so that it is the second choice.
         Instance second = spare.instance("i-2");
         second.domain = DomainId("south");
-        front.run([&] { front.relay.putInstance(second); });
+        front.run([&] { front.relay.node().putInstance(second); });
     }
 
     // Answer of the front host to a caller.
@@ -275,8 +275,8 @@
     front.run([this] {
         Route own = testRoute("own", "/own/", RequestKind::Idempotent);
         own.services = {{.service = ServiceId("shop")}};
-        front.relay.applyRoutes(RouteTable(2, {own}));
-        front.relay.putInstance(front.instance("s-1"));
+        front.relay.node().applyRoutes(RouteTable(2, {own}));
+        front.relay.node().putInstance(front.instance("s-1"));
     });
 
     LONGS_EQUAL(200, ask("GET", "/own/1")->status);
@@ -288,8 +288,8 @@
 {
     RelayHost stopping(running.context, "stopping", "shop", shop, ShortNotice);
     stopping.run([&] {
-        stopping.relay.applyRoutes(RouteTable(1, {testRoute("book", "/book/", RequestKind::NonIdempotent)}));
-        stopping.relay.putInstance(back.instance("i-1"));
+        stopping.relay.node().applyRoutes(RouteTable(1, {testRoute("book", "/book/", RequestKind::NonIdempotent)}));
+        stopping.relay.node().putInstance(back.instance("i-1"));
     });
     std::promise<void> stopped;
     answer = [](ServerExchange &) {
@@ -328,8 +328,8 @@
 {
     RelayHost stopping(running.context, "stopping", "shop", shop, RefusingNotice);
     stopping.run([&] {
-        stopping.relay.applyRoutes(RouteTable(1, {testRoute("book", "/book/", RequestKind::NonIdempotent)}));
-        stopping.relay.putInstance(back.instance("i-1"));
+        stopping.relay.node().applyRoutes(RouteTable(1, {testRoute("book", "/book/", RequestKind::NonIdempotent)}));
+        stopping.relay.node().putInstance(back.instance("i-1"));
         stopping.relay.stop([] {});
     });
 
@@ -343,10 +343,10 @@
 
 TEST(Relay, AnOlderConfigurationDoesNotReplaceANewerOne)
 {
-    front.run([this] { front.relay.applyRoutes(RouteTable(0, {})); });
+    front.run([this] { front.relay.node().applyRoutes(RouteTable(0, {})); });
 
     LONGS_EQUAL(200, ask("GET", "/read/1")->status);
-    LONGS_EQUAL(1, front.relay.configurationVersion());
+    LONGS_EQUAL(1, front.relay.node().configurationVersion());
 }
 
 TEST(Relay, ANodeThatSeesANewerVersionAtAPeerReadsItsSnapshot)
@@ -367,10 +367,10 @@
                          }
                      }});
     front.run([&] {
-        back.relay.applyRoutes(RouteTable(5, {}));
+        back.relay.node().applyRoutes(RouteTable(5, {}));
         stale.start();
-        stale.applyRoutes(RouteTable(1, {testRoute("read", "/read/", RequestKind::Idempotent)}));
-        stale.putInstance(back.instance("i-1"));
+        stale.node().applyRoutes(RouteTable(1, {testRoute("read", "/read/", RequestKind::Idempotent)}));
+        stale.node().putInstance(back.instance("i-1"));
     });
     HttpClient client(context, {.server = settings.callers});
     auto request = std::make_shared<HttpRequest>(HttpRequest{.method = "GET", .target = "/read/1"});
--- a/tests/relay/relaysetup.h
+++ b/tests/relay/relaysetup.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../net/echoserver.h"
+#include "net/endpoint.h"
 #include "net/httpclient.h"
 #include "observability/eventlog.h"
 #include "relay/relay.h"
@@ -44,11 +45,6 @@
     return {ownLoopbackAddress(), ++lastPort};
 }
 
-inline std::string endpointText(const Tcp::endpoint &endpoint)
-{
-    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
-}
-
 // Backend server whose answers the test decides; it records what it ran.
 class FakeInstance : public ServerHandler
 {
--- a/tests/relay/servinggateway_test.cpp
+++ b/tests/relay/servinggateway_test.cpp
@@ -17,7 +17,8 @@
     std::ostringstream output;
     EventLog log{LogOptions{}, output};
     RelayParts parts{running.context, RelaySettings{.node = "n", .server = shop.address(), .headers = testHeaderNames()}, clock, log};
-    ServingGateway gateway{parts};
+    HttpClient client{running.context, {.server = shop.address()}};
+    ServingGateway gateway{parts, client};
 
     void teardown() override
     {
