Move requests that wait at a leaving instance to another one

Cause: a request that waits in the queue beside an instance started there however long everyone had known that the instance leaves.

The node beside an instance that is listed as draining refuses what has not begun, waiting or new, as not run; the sender's node takes another instance.

Ruled out: a shorter queue, which hanging requests fill all the same; leaving it to the sender, which does not know whether its request has begun.

--- a/src/relay/servinggateway.cpp
+++ b/src/relay/servinggateway.cpp
@@ -42,6 +42,10 @@
         asio::post(m_parts.context, [this, id] { finish(id, {.result = NotRun{.reason = NotRunReason::OtherInstance}}); });
         return id;
     }
+    if (isLeaving(m_calls.at(id).request.instance)) {
+        asio::post(m_parts.context, [this, id] { finish(id, {.result = NotRun{.reason = NotRunReason::Leaving}}); });
+        return id;
+    }
     const ServingVerdict verdict = m_parts.queue.offer(offered);
     if (verdict == ServingVerdict::Start) {
         start(id);
@@ -88,9 +92,29 @@
 void ServingGateway::tick()
 {
     m_parts.queue.tick();
+    refuseForLeavingInstances();
     poll();
 }
 
+bool ServingGateway::isLeaving(const std::string &instance) const
+{
+    const Instance *listed = m_parts.directory.find(instance);
+    return listed != nullptr && listed->draining;
+}
+
+void ServingGateway::refuseForLeavingInstances()
+{
+    std::vector<CallId> refused;
+    for (const auto &[id, call] : m_calls) {
+        if (!call.running && isLeaving(call.request.instance) && m_parts.queue.withdraw(id)) {
+            refused.push_back(id);
+        }
+    }
+    for (const CallId id : refused) {
+        finish(id, {.result = NotRun{.reason = NotRunReason::Leaving}});
+    }
+}
+
 void ServingGateway::start(CallId id)
 {
     Call &call = m_calls.at(id);
--- a/src/relay/servinggateway.h
+++ b/src/relay/servinggateway.h
@@ -46,6 +46,9 @@
         bool running = false;
     };
 
+    // The instance leaves: what has not begun on it runs elsewhere.
+    bool isLeaving(const std::string &instance) const;
+    void refuseForLeavingInstances();
     void start(CallId id);
     void answered(CallId id, tl::expected<HttpResponse, ExchangeError> result);
     void noteForCrashGuard(CallId id, const tl::expected<HttpResponse, ExchangeError> &result);
--- a/tests/relay/servinggateway_test.cpp
+++ b/tests/relay/servinggateway_test.cpp
@@ -47,3 +47,33 @@
     CHECK((notRun != nullptr ? notRun->reason : NotRunReason::Overloaded) == NotRunReason::SuspectedOfCrash);
     CHECK(shop.requests().empty());
 }
+
+// Guards against a request that waits at a leaving instance until long after everyone knows that it leaves.
+TEST(ServingGateway, MovesWaitingRequestsAwayFromALeavingInstance)
+{
+    FakeInstance busy(running.context, [](ServerExchange &) {});
+    HttpClient busyClient(running.context, {.server = busy.address()});
+    ServingGateway busyGateway(parts, busyClient);
+    const RelayRequest request{.http = std::make_shared<HttpRequest>(HttpRequest{.method = "POST", .target = "/book/1"}),
+                               .instance = "i-1",
+                               .route = "book",
+                               .deadline = clock.now() + std::chrono::seconds(20)};
+    std::promise<AttemptOutcome> waiting;
+    std::promise<AttemptOutcome> late;
+
+    asio::post(running.context, [&] {
+        parts.queue.setSlots(1);
+        busyGateway.serve(request, [](const AttemptOutcome &) {});
+        busyGateway.serve(request, [&](AttemptOutcome outcome) { waiting.set_value(std::move(outcome)); });
+        parts.directory.put({.id = "i-1", .address = "a:1", .draining = true});
+        busyGateway.tick();
+        busyGateway.serve(request, [&](AttemptOutcome outcome) { late.set_value(std::move(outcome)); });
+    });
+
+    for (std::promise<AttemptOutcome> *outcome : {&waiting, &late}) {
+        const AttemptOutcome ended = outcome->get_future().get();
+        const auto *notRun = std::get_if<NotRun>(&ended.result);
+        CHECK((notRun != nullptr ? notRun->reason : NotRunReason::Overloaded) == NotRunReason::Leaving);
+    }
+    running.stop();
+}
