--- a/src/lab/commandline.cpp
+++ b/src/lab/commandline.cpp
@@ -230,6 +230,23 @@
     return options;
 }
 
+tl::expected<SoakOptions, std::vector<Finding>> parseSoakArguments(std::span<char *> arguments)
+{
+    SoakOptions options;
+    std::vector<Finding> findings = parseOptions(arguments,
+                                                 {{"seeds", number(options.seeds)},
+                                                  {"first-seed", number(options.firstSeed)},
+                                                  {"hosts-per-service", number(options.hostsPerService)},
+                                                  {"log", text(options.logFile)}});
+    if (options.hostsPerService == 0) {
+        findings.push_back({.pointer = "--hosts-per-service", .message = "must be at least 1"});
+    }
+    if (!findings.empty()) {
+        return tl::make_unexpected(std::move(findings));
+    }
+    return options;
+}
+
 const char *usage()
 {
     return "usage: wisteriafork-lab <command> [options]\n"
@@ -244,8 +261,10 @@
            "  load       send requests as old clients do, and print the outcomes\n"
            "             --target IP:PORT... --operation NAME:METHOD:PATH:WEIGHT... --phase SECONDS:RATE...\n"
            "             [--wait-ms N] [--resend-ms N] [--resend-gap-ms N] [--seed N] [--result FILE]\n"
+           "  soak       play fleets of nodes in virtual time under drawn troubles, and check every promise\n"
+           "             [--seeds N] [--first-seed N] [--hosts-per-service N] [--log FILE]\n"
            "\n"
-           "exit codes: 0 done, 1 answers reached the wrong caller, 2 wrong arguments\n";
+           "exit codes: 0 done, 1 a promise was broken or answers reached the wrong caller, 2 wrong arguments\n";
 }
 
 } // namespace wisteriafork::lab
--- a/src/lab/commandline.h
+++ b/src/lab/commandline.h
@@ -20,11 +20,22 @@
     std::vector<std::string> records;
 };
 
+struct SoakOptions
+{
+    unsigned seeds = 50;
+    std::uint64_t firstSeed = 1;
+    unsigned hostsPerService = 4;
+    // File for the logs of all nodes; empty for none.
+    std::string logFile;
+};
+
 // Parses the arguments of one subcommand; `arguments[0]` is the name of the subcommand. All findings are reported together.
 tl::expected<StandinServerOptions, std::vector<Finding>> parseServerArguments(std::span<char *> arguments);
 tl::expected<StatsOptions, std::vector<Finding>> parseStatsArguments(std::span<char *> arguments);
 tl::expected<LoadOptions, std::vector<Finding>> parseLoadArguments(std::span<char *> arguments, std::string &resultFile);
 
+tl::expected<SoakOptions, std::vector<Finding>> parseSoakArguments(std::span<char *> arguments);
+
 // Help text of the tool.
 const char *usage();
 
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -1,9 +1,11 @@
+#include "fleet/judge.h"
 #include "lab/commandline.h"
 #include "lab/loadgenerator.h"
 #include "lab/loadreportwriter.h"
 #include "lab/standinserver.h"
 #include "lab/statscollector.h"
 
+#include <cinttypes>
 #include <cstdio>
 #include <fstream>
 #include <string_view>
@@ -74,6 +76,49 @@
     return mismatched == 0 ? 0 : ExitFailure;
 }
 
+// One line for each trouble that a run had, with its times in milliseconds from the start of the load.
+std::string describeFaults(const fleet::Fleet &played)
+{
+    std::string text;
+    for (const fleet::Fault &fault : played.faults()) {
+        text += std::string("  ") + fleet::describeFault(fault.kind) + (fault.wholeService ? " service of host " : " host ")
+            + std::to_string(fault.host) + " at " + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(fault.at).count())
+            + " for " + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(fault.lasts).count()) + "\n";
+    }
+    return text;
+}
+
+int runSoak(std::span<char *> arguments)
+{
+    const auto options = parseSoakArguments(arguments);
+    if (!options) {
+        return reportFindings(options.error());
+    }
+    std::ofstream logText;
+    if (!options->logFile.empty()) {
+        logText.open(options->logFile);
+    }
+    std::size_t attempts = 0;
+    std::size_t runs = 0;
+    std::size_t broken = 0;
+    for (std::uint64_t seed = options->firstSeed; seed < options->firstSeed + options->seeds; ++seed) {
+        fleet::Fleet played({.seed = seed, .hostsPerService = options->hostsPerService}, logText);
+        played.play();
+        attempts += played.ledger().attempts.size();
+        runs += played.ledger().runs.size();
+        const std::vector<std::string> findings = fleet::judge(played);
+        broken += findings.size();
+        for (const std::string &finding : findings) {
+            std::printf("seed %" PRIu64 ": %s\n", seed, finding.c_str());
+        }
+        if (!findings.empty()) {
+            std::fputs(describeFaults(played).c_str(), stdout);
+        }
+    }
+    std::printf("%u seeds, %zu attempts of callers, %zu runs on backend servers, %zu findings\n", options->seeds, attempts, runs, broken);
+    return broken == 0 ? 0 : ExitFailure;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -86,6 +131,9 @@
     if (command == "stats") {
         return runStats(arguments);
     }
+    if (command == "soak") {
+        return runSoak(arguments);
+    }
     if (command == "load") {
         return runLoad(arguments);
     }
