Ask a node that left again after a second instead of three

A node that was told to stop is avoided for 3 s after its last report, while its process is often back within two; each failure domain has one or two instances of a service.

Now it is avoided for 1 s. If it still leaves, one call moves on after a round trip and it is avoided again; if it has ended, the pause after a failed connection holds.

Test ANodeThatLeftIsAskedAgainAfterASecond fails before the change.

--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -125,7 +125,7 @@
         return total;
     }
     const State &state = found->second;
-    if (m_clock.now() < state.pausedUntil || (state.report.leaving && m_clock.now() - state.reported < m_options.memory)) {
+    if (m_clock.now() < state.pausedUntil || (state.report.leaving && m_clock.now() - state.reported < m_options.leavingMemory)) {
         total += Unusable;
     }
     if (const auto known = state.latencies.find(route); known != state.latencies.end()) {
--- a/src/core/relay/placement.h
+++ b/src/core/relay/placement.h
@@ -34,6 +34,9 @@
     std::size_t samples = 4;
     // Time in which a measured latency or failure loses its weight, so that an avoided instance is tried again.
     Duration memory = std::chrono::milliseconds(3000);
+    // Time for which a node that said it leaves is not used. Then it is asked again, which costs a round trip if it still leaves: a process
+    // that was told to stop starts again within seconds.
+    Duration leavingMemory = std::chrono::milliseconds(1000);
     // Pauses after a failed connection to the node of an instance: the first one, doubled each time up to the longest.
     Duration firstPause = std::chrono::milliseconds(200);
     Duration longestPause = std::chrono::milliseconds(1600);
--- a/tests/relay/placement_test.cpp
+++ b/tests/relay/placement_test.cpp
@@ -112,6 +112,17 @@
     STRCMP_EQUAL("near", choose().c_str());
 }
 
+// Guards against a restarted node that stays without calls for as long as a failure is remembered.
+TEST(Placement, ANodeThatLeftIsAskedAgainAfterASecond)
+{
+    placement.report("near", {.limit = 10, .leaving = true});
+    clock.advance(900ms);
+    STRCMP_EQUAL("far", choose().c_str());
+
+    clock.advance(200ms);
+    STRCMP_EQUAL("near", choose().c_str());
+}
+
 TEST(Placement, ALeavingNodeAndADrainingInstanceGetNoCalls)
 {
     placement.report("near", {.limit = 10, .leaving = true});
