--- a/src/fleet/judge.cpp
+++ b/src/fleet/judge.cpp
@@ -117,16 +117,22 @@
             return;
         }
         for (const auto &[target, times] : m_ledger.crashes) {
-            const auto known
-                = times.size() < 2 ? times.size() : 2 + static_cast<std::size_t>(std::ranges::count_if(times, [&](TimePoint at) {
-                                                        return at - times[1] > m_options.crashKnown;
-                                                    }));
-            if (known > m_options.crashes) {
+            if (countCrashes(times) > m_options.crashes) {
                 m_findings.push_back(target + " crashed " + std::to_string(times.size()) + " backend servers");
             }
         }
     }
 
+    // Crashes by one request, without those that began before the second one was known.
+    std::size_t countCrashes(const std::vector<TimePoint> &times) const
+    {
+        if (times.size() < 2) {
+            return times.size();
+        }
+        const TimePoint known = times[1] + m_options.crashKnown;
+        return 2 + static_cast<std::size_t>(std::ranges::count_if(times, [known](TimePoint at) { return at > known; }));
+    }
+
     void checkBudget()
     {
         std::map<std::pair<std::string, std::int64_t>, std::pair<unsigned, unsigned>> windows;
