--- a/src/fleet/callers.cpp
+++ b/src/fleet/callers.cpp
@@ -25,7 +25,7 @@
 
     void respond(HttpResponse response) override
     {
-        m_callers.answered(m_id, std::move(response));
+        m_callers.answered(m_id, response);
     }
 
 private:
@@ -98,7 +98,7 @@
     host.run(host.incarnation(), [&host, exchange] { host.node().callerHandler().handleRequest(exchange); });
 }
 
-void Callers::answered(const std::string &id, HttpResponse response)
+void Callers::answered(const std::string &id, const HttpResponse &response)
 {
     CallerAttempt &seen = m_ledger.attempts.at(id);
     ++seen.answers;
--- a/src/fleet/callers.h
+++ b/src/fleet/callers.h
@@ -65,7 +65,7 @@
     void next();
     void begin(bool idempotent, const std::string &target);
     void attempt(Request request);
-    void answered(const std::string &id, HttpResponse response);
+    void answered(const std::string &id, const HttpResponse &response);
     void leave(const std::string &id);
     void again(Request request, Duration pause);
 
--- a/tests/program/nodeprogram_test.cpp
+++ b/tests/program/nodeprogram_test.cpp
@@ -45,6 +45,7 @@
     {
         arguments.insert(arguments.begin(), program.name);
         std::vector<char *> pointers;
+        pointers.reserve(arguments.size() + 1);
         for (std::string &argument : arguments) {
             pointers.push_back(argument.data());
         }
