Remove a mark of caller attempts that nothing reads

Cause: reading the whole change once more.

No behaviour changes. Run after it: all 12 groups of tests in release, format over all sources, clang-tidy on callers.cpp; not the sanitizers, and not the whole check.

--- a/src/fleet/callers.cpp
+++ b/src/fleet/callers.cpp
@@ -83,10 +83,7 @@
     }
     Host &host = *running[std::uniform_int_distribution<std::size_t>(0, running.size() - 1)(m_random)];
     const std::string id = "q" + std::to_string(request.number) + "-" + std::to_string(request.attempts);
-    m_ledger.attempts[id] = {.idempotent = request.idempotent,
-                             .poisoned = request.target.starts_with(PoisonPath),
-                             .sent = m_time.now(),
-                             .disturbed = host.isFrozen()};
+    m_ledger.attempts[id] = {.idempotent = request.idempotent, .sent = m_time.now(), .disturbed = host.isFrozen()};
     auto exchange = std::make_shared<Exchange>(*this, id);
     exchange->remoteAddress = "caller";
     exchange->request = std::make_shared<HttpRequest>(HttpRequest{.method = "POST", .target = request.target});
--- a/src/fleet/ledger.h
+++ b/src/fleet/ledger.h
@@ -13,7 +13,6 @@
 struct CallerAttempt
 {
     bool idempotent = false;
-    bool poisoned = false;
     TimePoint sent;
     // The host at which it entered was killed or stood still while it was open.
     bool disturbed = false;
