--- a/src/core/crashguard/crashdetector.cpp
+++ b/src/core/crashguard/crashdetector.cpp
@@ -35,11 +35,11 @@
     m_startTimes.erase(call);
 }
 
-std::vector<RequestKey> CrashDetector::onConnectionBroken(CallId call, bool suspected, TimePoint now)
+void CrashDetector::onConnectionBroken(CallId call, bool suspected, TimePoint now)
 {
     const auto found = m_inFlight.find(call);
     if (found == m_inFlight.end()) {
-        return {};
+        return;
     }
     if (m_brokenCalls.empty() || now - m_firstBreakTime > m_options.crashWindow) {
         takeBrokenCalls();
@@ -48,12 +48,18 @@
     m_brokenCalls.push_back(found->second);
     m_hasBrokenSuspect = m_hasBrokenSuspect || suspected;
     removeCall(call);
-    const bool hasUnbrokenCall
-        = std::any_of(m_startTimes.begin(), m_startTimes.end(), [this](const auto &item) { return item.second <= m_firstBreakTime; });
-    if (!hasUnbrokenCall && (m_brokenCalls.size() > 1 || m_hasBrokenSuspect)) {
-        return takeBrokenCalls();
-    }
-    return {};
+}
+
+bool CrashDetector::awaitsConfirmation(TimePoint now) const
+{
+    const bool mayBeCrash = m_brokenCalls.size() > 1 || m_hasBrokenSuspect;
+    return mayBeCrash && now - m_firstBreakTime <= m_options.confirmationTime
+        && std::none_of(m_startTimes.begin(), m_startTimes.end(), [this](const auto &item) { return item.second <= m_firstBreakTime; });
+}
+
+void CrashDetector::onConnectionAccepted()
+{
+    takeBrokenCalls();
 }
 
 std::vector<RequestKey> CrashDetector::onConnectionRefused(TimePoint now)
--- a/src/core/crashguard/crashdetector.h
+++ b/src/core/crashguard/crashdetector.h
@@ -24,12 +24,18 @@
     std::optional<RequestKey> onCallCompleted(CallId call);
     // Removes a call that ended without a response and without a broken connection.
     void removeCall(CallId call);
-    // Records that the connection of a call broke. Returns the fingerprints of all calls that broke together if this shows a crash,
-    // otherwise none. A single call shows a crash only if its fingerprint was suspected or banned before.
-    std::vector<RequestKey> onConnectionBroken(CallId call, bool suspected, TimePoint now);
+    // Records that the backend server closed the connection of a call before the end of its response. This alone is no crash: connections
+    // are also reset, and responses broken off, by a backend server that runs.
+    // `suspected` says that its fingerprint was in flight at a crash before.
+    void onConnectionBroken(CallId call, bool suspected, TimePoint now);
+    // True if several calls or a suspected one broke, and all that were in flight then, so that a new connection has to show whether the
+    // backend server still runs.
+    bool awaitsConfirmation(TimePoint now) const;
     // Records that a new connection was refused. Shortly after a broken connection this shows a crash; returns the fingerprints of the
     // calls that broke, otherwise none.
     std::vector<RequestKey> onConnectionRefused(TimePoint now);
+    // Records that a new connection was accepted: the backend server has not crashed.
+    void onConnectionAccepted();
     // Fingerprints of the calls in flight.
     const std::unordered_map<CallId, RequestKey> &inFlight() const;
 
--- a/src/core/crashguard/crashguard.cpp
+++ b/src/core/crashguard/crashguard.cpp
@@ -12,15 +12,19 @@
 {
 }
 
-CrashGuardDecision CrashGuard::tryStart(CallId call, const RequestKey &fingerprint)
+CrashGuardDecision CrashGuard::tryStart(CallId call, const RequestKey &fingerprint, bool isTrialServer)
 {
-    if (m_suspects.isBanned(fingerprint)) {
+    const bool banned = m_suspects.isBanned(fingerprint);
+    if (banned && !(isTrialServer && isTrialDue(fingerprint))) {
         return CrashGuardDecision::Refuse;
     }
-    const bool suspected = m_suspects.isSuspected(fingerprint);
+    const bool suspected = banned || m_suspects.isSuspected(fingerprint);
     if (suspected && m_options.suspectsRunAlone && hasSuspectInFlight()) {
         return CrashGuardDecision::Wait;
     }
+    if (banned) {
+        m_suspects.startTrial(fingerprint, m_clock.now());
+    }
     m_detector.onCallStarted(call, fingerprint, m_clock.now());
     return suspected ? CrashGuardDecision::RunAlone : CrashGuardDecision::Run;
 }
@@ -49,10 +53,20 @@
     const auto found = m_detector.inFlight().find(call);
     if (found != m_detector.inFlight().end()) {
         const bool suspected = m_suspects.isSuspected(found->second) || m_suspects.isBanned(found->second);
-        recordCrash(m_detector.onConnectionBroken(call, suspected, m_clock.now()));
+        m_detector.onConnectionBroken(call, suspected, m_clock.now());
     }
 }
 
+bool CrashGuard::awaitsConfirmation() const
+{
+    return m_detector.awaitsConfirmation(m_clock.now());
+}
+
+void CrashGuard::onConnectionAccepted()
+{
+    m_detector.onConnectionAccepted();
+}
+
 void CrashGuard::onConnectionRefused()
 {
     recordCrash(m_detector.onConnectionRefused(m_clock.now()));
@@ -74,6 +88,11 @@
     return m_suspects.isBanned(fingerprint);
 }
 
+bool CrashGuard::isTrialDue(const RequestKey &fingerprint) const
+{
+    return m_suspects.isTrialDue(fingerprint, m_clock.now());
+}
+
 void CrashGuard::onReportsReceived(const CrashSuspects &message)
 {
     for (const SuspectReport &report : message.suspects) {
--- a/src/core/crashguard/crashguard.h
+++ b/src/core/crashguard/crashguard.h
@@ -29,7 +29,7 @@
 
 // Detects requests that crash backend servers and keeps them from crashing more. When the connections to a backend server break together,
 // the fingerprints of the calls in flight become suspects. A backend server runs at most one suspect at a time. A fingerprint is refused
-// after a second crash, and cleared by a completed call or after a time limit. One object per node, for the local backend server. The
+// after a second crash, except for single trials at growing intervals, and cleared by a completed call or after a time limit. One object per node, for the local backend server. The
 // objects of several nodes exchange reports, so that each also counts the crashes that the others saw; the user of the class sends them
 // and chooses the nodes that get them. Not thread safe. See docs/crash-guard.md.
 class CrashGuard
@@ -38,20 +38,26 @@
     CrashGuard(CrashGuardOptions options, const Clock &clock);
 
     // Decides whether a call may be sent to the local backend server. `Run` and `RunAlone` record the call as in flight.
-    CrashGuardDecision tryStart(CallId call, const RequestKey &fingerprint);
+    // `isTrialServer` says that this backend server is the one on which a banned fingerprint may be tried again.
+    CrashGuardDecision tryStart(CallId call, const RequestKey &fingerprint, bool isTrialServer = false);
     // Records that a call ended with a complete response, and clears its fingerprint.
     void onCompleted(CallId call);
     // Records that a call ended without a response and without a crash: refused, cancelled or timed out.
     void onAbandoned(CallId call);
-    // Records that the connection of a call broke. If the connections of all calls in flight break together, the backend server has
-    // crashed.
+    // Records that the backend server closed the connection of a call before the end of its response.
     void onConnectionBroken(CallId call);
+    // True if a new connection has to show whether the backend server has crashed: open one, and report its outcome.
+    bool awaitsConfirmation() const;
     // Records that a new connection to the backend server was refused. Shortly after a broken connection this confirms a crash, even if
     // only one call was in flight.
     void onConnectionRefused();
+    // Records that a new connection was accepted: connections that broke before were no crash.
+    void onConnectionAccepted();
 
     // True if calls with the fingerprint are refused.
     bool isBanned(const RequestKey &fingerprint) const;
+    // True if the fingerprint is banned and one call with it may be sent to the trial server, see `trialServer`.
+    bool isTrialDue(const RequestKey &fingerprint) const;
 
     // Merges the reports of another node.
     void onReportsReceived(const CrashSuspects &message);
--- a/src/core/crashguard/suspecttable.cpp
+++ b/src/core/crashguard/suspecttable.cpp
@@ -1,6 +1,7 @@
 #include "core/crashguard/suspecttable.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace wisteriafork {
 
@@ -8,6 +9,8 @@
 
 // Number of crashes from which a fingerprint is banned.
 constexpr std::size_t BanThresholdCrashes = 2;
+// Bounds the growth of the delay of a trial, which has reached its maximum by then.
+constexpr double MaxTrialExponent = 10.0;
 
 } // namespace
 
@@ -37,58 +40,79 @@
     suspect.nextReport = now;
 }
 
+Duration SuspectTable::trialDelay(std::size_t crashes) const
+{
+    const double exponent = static_cast<double>(crashes) - static_cast<double>(BanThresholdCrashes);
+    const double factor = std::pow(m_options.trialDelayFactor, std::clamp(exponent, 0.0, MaxTrialExponent));
+    return std::min<Duration>(m_options.banLifetime, std::chrono::duration_cast<Duration>(m_options.firstTrialDelay * factor));
+}
+
+void SuspectTable::updateState(Suspect &suspect, TimePoint now) const
+{
+    if (suspect.crashes.size() >= BanThresholdCrashes) {
+        suspect.state = SuspectState::Banned;
+        suspect.nextTrial = now + trialDelay(suspect.crashes.size());
+    } else {
+        suspect.state = suspect.crashes.empty() ? SuspectState::Cleared : SuspectState::Suspected;
+    }
+}
+
 void SuspectTable::recordCrash(const RequestKey &fingerprint, std::uint64_t crashId, TimePoint now)
 {
     Suspect &suspect = findOrInsert(fingerprint, now);
     suspect.crashes.insert(crashId);
-    if (suspect.state != SuspectState::Banned) {
-        suspect.state = suspect.crashes.size() >= BanThresholdCrashes ? SuspectState::Banned : SuspectState::Suspected;
-    }
+    updateState(suspect, now);
     scheduleReports(suspect, now);
 }
 
 void SuspectTable::clearSuspicion(const RequestKey &fingerprint, TimePoint now)
 {
     const Suspect *known = find(fingerprint);
-    if (known == nullptr || known->state != SuspectState::Suspected) {
+    if (known == nullptr || known->state == SuspectState::Cleared) {
         return;
     }
     Suspect &suspect = findOrInsert(fingerprint, now);
-    suspect.state = SuspectState::Cleared;
     suspect.clearedCrashes.merge(suspect.crashes);
     suspect.crashes.clear();
+    updateState(suspect, now);
     scheduleReports(suspect, now);
 }
 
+bool SuspectTable::isTrialDue(const RequestKey &fingerprint, TimePoint now) const
+{
+    const Suspect *suspect = find(fingerprint);
+    return suspect != nullptr && suspect->state == SuspectState::Banned && now >= suspect->nextTrial;
+}
+
+void SuspectTable::startTrial(const RequestKey &fingerprint, TimePoint now)
+{
+    Suspect &suspect = m_suspects[fingerprint];
+    suspect.nextTrial = now + trialDelay(suspect.crashes.size() + 1);
+}
+
 void SuspectTable::merge(const SuspectReport &report, TimePoint now)
 {
     const Suspect *known = find(report.fingerprint);
-    if (known == nullptr && report.state == SuspectState::Cleared) {
-        Suspect &cleared = findOrInsert(report.fingerprint, now - report.age);
-        cleared.state = SuspectState::Cleared;
-        cleared.clearedCrashes.insert(report.crashes.begin(), report.crashes.end());
-        return;
-    }
-    if (known != nullptr && known->state == SuspectState::Banned) {
-        return;
-    }
+    const bool wasBanned = known != nullptr && known->state == SuspectState::Banned;
     Suspect &suspect = known != nullptr ? m_suspects[report.fingerprint] : findOrInsert(report.fingerprint, now - report.age);
+    bool changed = known == nullptr;
     for (const std::uint64_t crashId : report.crashes) {
         if (report.state == SuspectState::Cleared) {
             suspect.clearedCrashes.insert(crashId);
-            suspect.crashes.erase(crashId);
+            changed = suspect.crashes.erase(crashId) > 0 || changed;
         } else if (!suspect.clearedCrashes.contains(crashId) && suspect.crashes.insert(crashId).second) {
             suspect.lastChange = now - report.age;
+            changed = true;
         }
     }
-    if (report.state == SuspectState::Banned || suspect.crashes.size() >= BanThresholdCrashes) {
-        suspect.state = SuspectState::Banned;
-        suspect.lastChange = now - report.age;
-        // A ban is reported further, for nodes that the first reporter cannot reach.
-        scheduleReports(suspect, now);
+    if (!changed) {
         return;
     }
-    suspect.state = suspect.crashes.empty() ? SuspectState::Cleared : SuspectState::Suspected;
+    updateState(suspect, now - report.age);
+    if (wasBanned != (suspect.state == SuspectState::Banned)) {
+        // A ban and its end are reported further, for nodes that the first reporter cannot reach.
+        scheduleReports(suspect, now);
+    }
 }
 
 void SuspectTable::removeExpired(TimePoint now)
--- a/src/core/crashguard/suspecttable.h
+++ b/src/core/crashguard/suspecttable.h
@@ -23,7 +23,7 @@
 
     // Records that the fingerprint was in flight at a crash with the given id. The second crash bans it.
     void recordCrash(const RequestKey &fingerprint, std::uint64_t crashId, TimePoint now);
-    // Clears a suspected fingerprint after a completed call. Banned fingerprints stay banned.
+    // Clears a fingerprint after a completed call: the crashes known now no longer count.
     void clearSuspicion(const RequestKey &fingerprint, TimePoint now);
     // Merges the report of another node.
     void merge(const SuspectReport &report, TimePoint now);
@@ -32,6 +32,10 @@
 
     bool isSuspected(const RequestKey &fingerprint) const;
     bool isBanned(const RequestKey &fingerprint) const;
+    // True if the fingerprint is banned and may be tried again.
+    bool isTrialDue(const RequestKey &fingerprint, TimePoint now) const;
+    // Records a trial of a banned fingerprint. The next one is due after a longer delay.
+    void startTrial(const RequestKey &fingerprint, TimePoint now);
     // Returns the reports to send now and schedules their repetition.
     std::vector<SuspectReport> takeDueReports(TimePoint now);
     std::vector<SuspectReport> allReports(TimePoint now) const;
@@ -46,12 +50,18 @@
         // Ids of crashes that no longer count, because a later call completed.
         std::set<std::uint64_t> clearedCrashes;
         TimePoint lastChange;
+        // Time from which a banned fingerprint may be tried again.
+        TimePoint nextTrial;
         // Number of reports still to send, and the time of the next one.
         unsigned reportsLeft = 0;
         TimePoint nextReport;
     };
 
     const Suspect *find(const RequestKey &fingerprint) const;
+    // Sets the state by the crashes that count.
+    void updateState(Suspect &suspect, TimePoint now) const;
+    // Time from a change of a banned fingerprint to its next trial, after this number of crashes.
+    Duration trialDelay(std::size_t crashes) const;
     // Finds or inserts a fingerprint and sets the time of its last change. Drops the oldest fingerprint if the table is full.
     Suspect &findOrInsert(const RequestKey &fingerprint, TimePoint now);
     void scheduleReports(Suspect &suspect, TimePoint now) const;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 constexpr int AdministrationFailureStatus = 1;
-// Exit status of a planned stop that a second signal aborts.
+// Exit status of a planned stop that a second signal or the end of the grace period breaks off.
 constexpr int AbortedStopStatus = 3;
 
 // Returns the settings of the relay with the TLS keys loaded from their files.
@@ -64,7 +64,7 @@
                 return;
             } else {
                 stopping = true;
-                relay.stop([this] { finish(0); });
+                relay.stop([this](std::size_t openRequests) { finish(openRequests == 0 ? 0 : AbortedStopStatus); });
             }
             waitForSignal();
         });
--- a/src/fleet/backendserver.cpp
+++ b/src/fleet/backendserver.cpp
@@ -240,4 +240,9 @@
     return probability > 0.0 && std::bernoulli_distribution(probability)(m_random);
 }
 
+void BackendServer::probe(std::function<void(bool accepted)> handler)
+{
+    m_time.scheduleAfter(Duration(0), [this, handler = std::move(handler)] { handler(m_running); });
+}
+
 } // namespace wisteriafork::fleet
--- a/src/fleet/backendserver.h
+++ b/src/fleet/backendserver.h
@@ -74,6 +74,7 @@
 
     // Receives a request from the local node.
     std::shared_ptr<ClientExchange> send(std::shared_ptr<const HttpRequest> request, HttpHeaders extra, ResponseHandler handler) override;
+    void probe(std::function<void(bool accepted)> handler) override;
 
 private:
     struct Job;
--- a/src/fleet/host.cpp
+++ b/src/fleet/host.cpp
@@ -140,6 +140,13 @@
     return m_host.m_server.send(std::move(request), std::move(extra), std::move(handlerInProcess));
 }
 
+void Host::ServerLink::probe(std::function<void(bool accepted)> handler)
+{
+    m_host.m_server.probe([&host = m_host, incarnation = m_host.m_incarnation, handler = std::move(handler)](bool accepted) {
+        host.runInProcess(incarnation, [handler, accepted] { handler(accepted); });
+    });
+}
+
 void Host::scheduleNodeCall(Duration interval, void (RelayNode::*function)())
 {
     m_time.scheduleAfter(interval, [this, interval, function, incarnation = m_incarnation] {
--- a/src/fleet/host.h
+++ b/src/fleet/host.h
@@ -104,6 +104,7 @@
 
         std::shared_ptr<ClientExchange> send(std::shared_ptr<const HttpRequest> request, HttpHeaders extra,
                                              ResponseHandler handler) override;
+        void probe(std::function<void(bool accepted)> handler) override;
 
     private:
         Host &m_host;
--- a/src/net/clientexchange.h
+++ b/src/net/clientexchange.h
@@ -15,8 +15,10 @@
     NotProcessed,
     // The connection or stream failed after sending had started. Whether the receiver executed the request is unknown.
     Interrupted,
-    // The response is larger than the limit for buffered responses.
+    // The response is larger than the limit for buffered responses. This side closed the connection or stream.
     ResponseTooLarge,
+    // The received bytes are no response. This side closed the connection.
+    MalformedResponse,
 };
 
 // Receives the complete response or the reason why there is none.
--- a/src/net/http2engine.cpp
+++ b/src/net/http2engine.cpp
@@ -18,6 +18,8 @@
 constexpr std::int32_t ConnectionWindowBytes = 32 * 1024 * 1024;
 // Header field with the length of the response to a HEAD request. `content-length` would have to match the empty body of the stream.
 constexpr std::string_view HeadLengthField = "wf-head-length";
+// Size of the fields that a node adds to the header of a caller's request or of a response.
+constexpr std::size_t AddedHeaderBytes = std::size_t{8} * 1024;
 
 } // namespace
 
@@ -93,34 +95,51 @@
     {
         std::string &body = options.isServer ? stream.request.body : stream.response.body;
         const std::size_t limit = options.isServer ? options.limits.requestBodyBytes : options.limits.responseBodyBytes;
-        if (stream.bodyTooLarge) {
+        if (stream.bodyTooLarge || stream.refused) {
             return;
         }
         if (body.size() + data.size() > limit) {
             stream.bodyTooLarge = true;
+            discardBody(stream, body);
             resetStream(id, NGHTTP2_CANCEL);
             return;
         }
-        if (bufferedBytes + data.size() > options.maxBufferedBytes) {
-            resetStream(id, NGHTTP2_REFUSED_STREAM);
+        if (!stream.reservation) {
+            stream.reservation = std::make_shared<BufferReservation>(options.limits.bufferBudget);
+        }
+        if (bufferedBytes + data.size() > options.maxBufferedBytes || !stream.reservation->resize(body.size() + data.size())) {
+            stream.refused = options.isServer;
+            stream.bodyTooLarge = !options.isServer;
+            discardBody(stream, body);
+            resetStream(id, options.isServer ? NGHTTP2_REFUSED_STREAM : NGHTTP2_CANCEL);
             return;
         }
         bufferedBytes += data.size();
         body.append(data);
     }
 
+    // Frees the incoming body of a stream that is being reset.
+    void discardBody(Http2Stream &stream, std::string &body)
+    {
+        bufferedBytes -= body.size();
+        body = {};
+        stream.reservation.reset();
+    }
+
     // Passes the complete incoming message to the observer.
     void completeMessage(StreamId id, Http2Stream &stream)
     {
-        if (stream.complete || stream.cancelled || stream.bodyTooLarge) {
+        if (stream.complete || stream.cancelled || stream.bodyTooLarge || stream.refused) {
             return;
         }
         stream.complete = true;
         if (options.isServer) {
             bufferedBytes -= stream.request.body.size();
+            stream.request.reservation = std::move(stream.reservation);
             observer.onRequestReceived(id, std::move(stream.request));
         } else {
             bufferedBytes -= stream.response.body.size();
+            stream.response.reservation = std::move(stream.reservation);
             observer.onResponseReceived(id, std::move(stream.response));
         }
     }
@@ -183,7 +202,7 @@
             return 0;
         }
         stream->headerBytes += nameSize + valueSize;
-        if (stream->headerBytes > 2 * engine.options.limits.headerBytes) {
+        if (stream->headerBytes > engine.options.limits.headerBytes + AddedHeaderBytes) {
             return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
         }
         engine.storeHeaderField(*stream, http2Text(name, nameSize), http2Text(value, valueSize));
@@ -332,6 +351,7 @@
         fields.push_back(m_impl->headerField(name, value));
     }
     stream->outgoingBody = std::move(response.body);
+    stream->outgoingReservation = std::move(response.reservation);
     const nghttp2_data_provider provider{.source = {.ptr = stream}, .read_callback = Impl::readBody};
     const int result
         = nghttp2_submit_response(m_impl->session, id, fields.data(), fields.size(), stream->outgoingBody.empty() ? nullptr : &provider);
--- a/src/net/http2stream.h
+++ b/src/net/http2stream.h
@@ -24,14 +24,19 @@
     std::shared_ptr<const HttpRequest> outgoingRequest;
     std::string outgoingBody;
     std::size_t sentBodyBytes = 0;
+    // Shares of the buffer budget of the incoming and the outgoing message; null if they need none.
+    std::shared_ptr<BufferReservation> reservation;
+    std::shared_ptr<const BufferReservation> outgoingReservation;
     bool headerSent = false;
     // The incoming message is complete and was passed to the observer.
     bool complete = false;
     bool responseSubmitted = false;
     // Cancelled by this side.
     bool cancelled = false;
-    // The incoming body exceeded its limit.
+    // The incoming body exceeded its limit, or on the client side the common bound.
     bool bodyTooLarge = false;
+    // There was no room for the incoming request.
+    bool refused = false;
 
     // Whole outgoing body, including the part that has been sent.
     std::string_view bodyToSend() const
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -38,10 +38,37 @@
         if (connection) {
             connection->runJob(std::move(job));
         } else {
-            job->finish(tl::unexpected(ExchangeError::NotProcessed));
+            asio::post(m_context, [job = std::move(job)] { job->finish(tl::unexpected(ExchangeError::NotProcessed)); });
         }
     }
 
+    void probe(std::function<void(bool accepted)> handler)
+    {
+        struct Probe
+        {
+            explicit Probe(const Strand &strand) : socket(strand), timer(strand)
+            {
+            }
+
+            Socket socket;
+            Timer timer;
+        };
+        const auto probe = std::make_shared<Probe>(asio::make_strand(m_context));
+        probe->timer.expires_after(m_options.connectTimeout);
+        probe->timer.async_wait([probe](const ErrorCode &error) {
+            if (!error) {
+                ErrorCode ignored;
+                probe->socket.close(ignored);
+            }
+        });
+        probe->socket.async_connect(m_options.server, [probe, handler = std::move(handler)](const ErrorCode &error) {
+            probe->timer.cancel();
+            ErrorCode ignored;
+            probe->socket.close(ignored);
+            handler(!error);
+        });
+    }
+
     void onConnectionIdle(const std::shared_ptr<HttpClientConnection> &connection) override
     {
         std::shared_ptr<HttpClientJob> next;
@@ -132,6 +159,11 @@
     return job;
 }
 
+void HttpClient::probe(std::function<void(bool accepted)> handler)
+{
+    m_impl->probe(std::move(handler));
+}
+
 void HttpClient::stop()
 {
     m_impl->stop();
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -39,6 +39,7 @@
     ~HttpClient() override;
 
     std::shared_ptr<ClientExchange> send(std::shared_ptr<const HttpRequest> request, HttpHeaders extra, ResponseHandler handler) override;
+    void probe(std::function<void(bool accepted)> handler) override;
     // Closes all connections. Requests in progress end with `Interrupted`; waiting and further requests end with `NotProcessed`.
     void stop();
 
--- a/src/net/httpclientconnection.cpp
+++ b/src/net/httpclientconnection.cpp
@@ -13,6 +13,12 @@
 
 // An idle connection is closed this long before the server would close it, so that no request is in transit when the server closes it.
 constexpr std::chrono::milliseconds IdleMargin{1000};
+// Responses to earlier requests that are skipped before the connection is given up.
+constexpr unsigned MaxForeignResponses = 8;
+// Received bytes that may be kept until the parser can use them: a header, a chunk header or a trailer that is not complete.
+constexpr std::size_t MaxUnparsedBytes = std::size_t{64} * 1024;
+// Time for the rest of a request body to be sent after its response. The server may read it late.
+constexpr std::chrono::milliseconds LateBodyTimeout{5000};
 
 // Timeout in seconds from the value of a `Keep-Alive` field such as "timeout=5, max=100"; empty if it contains none.
 std::optional<unsigned> keepAliveSeconds(std::string_view value)
@@ -66,6 +72,7 @@
     , m_timer(m_socket.get_executor())
     , m_reader(options.limits, options.allowCloseDelimited)
     , m_host(options.server.address().to_string() + ":" + std::to_string(options.server.port()))
+    , m_reservation(options.limits.bufferBudget)
 {
 }
 
@@ -135,21 +142,20 @@
     if (m_job->isFinished()) {
         // The request was cancelled before it was sent, so the connection can be reused.
         m_job.reset();
-        m_phase = Phase::Idle;
-        m_timer.expireAfter(m_options.idleTimeout);
-        if (const auto pool = m_pool.lock()) {
-            pool->onConnectionIdle(shared_from_this());
-        }
+        becomeIdle(m_options.idleTimeout);
         return;
     }
     m_phase = Phase::Running;
     m_reader.start(m_job->request->method == "HEAD");
+    m_foreignResponses = 0;
     m_head = requestHead(*m_job->request, m_job->extra, m_host);
     m_writing = true;
     const std::array<asio::const_buffer, 2> buffers{asio::buffer(m_head), asio::buffer(m_job->request->body)};
     asio::async_write(m_socket, buffers, [self = shared_from_this(), request = m_job->request](const ErrorCode &error, std::size_t) {
         self->m_writing = false;
-        if (error && self->m_phase == Phase::Running) {
+        if (self->m_phase == Phase::SendingRest) {
+            error ? self->close() : self->becomeIdle(self->m_idleTimeAfterRest);
+        } else if (error && self->m_phase == Phase::Running) {
             // The server may have sent a response before it closed the connection, so the result depends on what can be read.
             self->waitForInput();
         }
@@ -190,9 +196,18 @@
     }
     ResponseReader::State state = m_reader.consume(input);
     while (state == ResponseReader::State::Complete && !isResponseToCurrentRequest()) {
+        if (++m_foreignResponses > MaxForeignResponses) {
+            state = ResponseReader::State::Malformed;
+            break;
+        }
         m_reader.start(m_job->request->method == "HEAD");
         state = m_reader.consume(input);
     }
+    if (state == ResponseReader::State::NeedMore && input.size() > MaxUnparsedBytes) {
+        state = ResponseReader::State::Malformed;
+    } else if (state == ResponseReader::State::NeedMore && !m_reservation.resize(m_reader.bodyBytes())) {
+        state = ResponseReader::State::TooLarge;
+    }
     switch (state) {
     case ResponseReader::State::NeedMore:
         m_unparsedInput = input;
@@ -201,7 +216,7 @@
         onResponseComplete(!input.empty());
         break;
     case ResponseReader::State::Malformed:
-        failJob(ExchangeError::Interrupted);
+        failJob(ExchangeError::MalformedResponse);
         break;
     case ResponseReader::State::TooLarge:
         failJob(ExchangeError::ResponseTooLarge);
@@ -229,20 +244,32 @@
 {
     const std::shared_ptr<HttpClientJob> job = std::exchange(m_job, nullptr);
     const std::chrono::milliseconds idle = maxIdleTime();
-    const bool reusable = m_reader.isKeepAlive() && !mustClose && !m_writing && idle.count() > 0;
+    const bool reusable = m_reader.isKeepAlive() && !mustClose && idle.count() > 0;
     HttpResponse response = m_reader.takeResponse();
-    if (reusable) {
-        m_phase = Phase::Idle;
-        m_timer.expireAfter(idle);
-        if (const auto pool = m_pool.lock()) {
-            pool->onConnectionIdle(shared_from_this());
-        }
-    } else {
+    response.reservation = std::make_shared<BufferReservation>(std::move(m_reservation));
+    m_reservation = BufferReservation(m_options.limits.bufferBudget);
+    if (!reusable) {
         close();
+    } else if (m_writing) {
+        // The server responded before it had read the whole body. It reads the rest later, so nothing else may be sent in its place.
+        m_phase = Phase::SendingRest;
+        m_idleTimeAfterRest = idle;
+        m_timer.expireAfter(LateBodyTimeout);
+    } else {
+        becomeIdle(idle);
     }
     job->finish(std::move(response));
 }
 
+void HttpClientConnection::becomeIdle(std::chrono::milliseconds idleTime)
+{
+    m_phase = Phase::Idle;
+    m_timer.expireAfter(idleTime);
+    if (const auto pool = m_pool.lock()) {
+        pool->onConnectionIdle(shared_from_this());
+    }
+}
+
 void HttpClientConnection::onDeadline()
 {
     failJob(m_phase == Phase::Connecting ? ExchangeError::NotProcessed : ExchangeError::Interrupted);
@@ -265,6 +292,8 @@
     m_phase = Phase::Closed;
     m_job.reset();
     m_unparsedInput.clear();
+    m_reader.start(false);
+    m_reservation = BufferReservation(nullptr);
     m_timer.cancel();
     ErrorCode ignored;
     m_socket.close(ignored);
--- a/src/net/httpclientconnection.h
+++ b/src/net/httpclientconnection.h
@@ -81,6 +81,8 @@
         New,
         Connecting,
         Running,
+        // The response has arrived, but the end of the request body is still being sent.
+        SendingRest,
         Idle,
         Closed,
     };
@@ -95,6 +97,8 @@
     bool isResponseToCurrentRequest() const;
     // Finishes the job with the parsed response. `mustClose` says that the connection cannot be reused.
     void onResponseComplete(bool mustClose);
+    // Offers the connection to the pool for another request, for at most this time.
+    void becomeIdle(std::chrono::milliseconds idleTime);
     // Time after which the idle connection is closed: the option `idleTimeout`, or a shorter time if the server announced one. Not positive
     // if the connection cannot be reused.
     std::chrono::milliseconds maxIdleTime() const;
@@ -116,6 +120,11 @@
     std::string m_head;
     // Received bytes of an incomplete header.
     std::string m_unparsedInput;
+    // Share of the buffer budget of the response that is being received.
+    BufferReservation m_reservation;
+    // Responses to earlier requests that were skipped while the current request is in progress.
+    unsigned m_foreignResponses = 0;
+    std::chrono::milliseconds m_idleTimeAfterRest{0};
     Phase m_phase = Phase::New;
     bool m_writing = false;
 };
--- a/src/net/httplimits.h
+++ b/src/net/httplimits.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "net/bufferbudget.h"
+
 #include <chrono>
 #include <cstddef>
+#include <memory>
 
 namespace wisteriafork {
 
@@ -22,6 +25,9 @@
     std::chrono::milliseconds writeTimeout{30000};
     // Open connections of one listener; further ones are closed at once.
     std::size_t connections = 4096;
+    // Bounds the bytes of all messages that are buffered together. A request waits unread until there is room, a response that does not fit
+    // is cut off. Null for no common bound.
+    std::shared_ptr<BufferBudget> bufferBudget;
 };
 
 } // namespace wisteriafork
--- a/src/net/httpmessage.h
+++ b/src/net/httpmessage.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "net/bufferbudget.h"
+
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -48,6 +51,8 @@
     std::string target;
     HttpHeaders headers;
     std::string body;
+    // Share of the buffer budget that is held as long as the request; may be null.
+    std::shared_ptr<const BufferReservation> reservation = nullptr;
 };
 
 // A complete response.
@@ -60,6 +65,8 @@
     std::optional<std::uint64_t> headContentLength;
     // Server side: close the connection after this response.
     bool closeConnection = false;
+    // Share of the buffer budget that is held as long as the response; may be null.
+    std::shared_ptr<const BufferReservation> reservation = nullptr;
 };
 
 } // namespace wisteriafork
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -58,6 +58,12 @@
     return m_impl->acceptor->listener().address();
 }
 
+void HttpServer::setRequestBounds(std::size_t headerBytes, std::size_t bodyBytes)
+{
+    m_impl->shared->headerBytes = headerBytes;
+    m_impl->shared->bodyBytes = bodyBytes;
+}
+
 void HttpServer::closeAfterResponses()
 {
     m_impl->shared->closeAfterResponses = true;
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -21,6 +21,8 @@
     void listen(const Tcp::endpoint &address);
     // Address that the server is bound to, with the port that the system chose for port 0.
     Tcp::endpoint address() const;
+    // Sets the bounds of the header and the body of a request, for requests that have not started to arrive.
+    void setRequestBounds(std::size_t headerBytes, std::size_t bodyBytes);
     // Makes each connection close after its next response. The server still accepts connections.
     void closeAfterResponses();
     // Stops listening. Connections close after their current response, idle ones after a short time.
--- a/src/net/httpserverconnection.cpp
+++ b/src/net/httpserverconnection.cpp
@@ -16,6 +16,8 @@
 // Time for which an idle connection stays open after `stop`. A request may be in transit on it: closing at once broke off requests of
 // callers that had just connected.
 constexpr std::chrono::milliseconds StopIdleTime{500};
+// Interval at which a request that waits for room in the buffers of the node is tried again.
+constexpr std::chrono::milliseconds RoomRetryInterval{20};
 
 } // namespace
 
@@ -46,7 +48,12 @@
 };
 
 HttpServerConnection::HttpServerConnection(Socket socket, std::shared_ptr<HttpServerShared> shared)
-    : m_socket(std::move(socket)), m_shared(std::move(shared)), m_reader(m_shared->limits), m_timer(m_socket.get_executor())
+    : m_socket(std::move(socket))
+    , m_shared(std::move(shared))
+    , m_reader(m_shared->limits)
+    , m_timer(m_socket.get_executor())
+    , m_reservation(m_shared->limits.bufferBudget)
+    , m_roomTimer(m_socket.get_executor())
 {
     ++m_shared->openConnections;
 }
@@ -82,7 +89,7 @@
 
 void HttpServerConnection::waitForInput()
 {
-    if (m_phase != Phase::Closed && m_input.size() <= MaxPipelinedBytes) {
+    if (m_phase != Phase::Closed && !m_waitsForRoom && m_input.size() <= MaxPipelinedBytes) {
         m_socketInput.asyncReadSome(m_socket, [self = shared_from_this()](std::string_view input) { self->onInputReceived(input); });
     }
 }
@@ -120,6 +127,7 @@
 {
     std::string_view input = m_input;
     const bool wasIdle = !m_reader.hasStarted();
+    m_reader.setBounds(m_shared->headerBytes, m_shared->bodyBytes);
     const RequestReader::State state = m_reader.consume(input);
     m_input.erase(0, m_input.size() - input.size());
     switch (state) {
@@ -127,12 +135,14 @@
         if (wasIdle && m_reader.hasStarted()) {
             m_timer.expireAfter(m_shared->limits.requestTimeout);
         }
-        if (m_reader.takeExpectContinue()) {
+        if (reserveBody() && m_reader.takeExpectContinue()) {
             sendContinue();
         }
         break;
     case RequestReader::State::Complete:
-        startRequest();
+        if (reserveBody()) {
+            startRequest();
+        }
         break;
     case RequestReader::State::Malformed:
         rejectInput(400, "the request is malformed");
@@ -146,6 +156,22 @@
     }
 }
 
+bool HttpServerConnection::reserveBody()
+{
+    m_waitsForRoom = !m_reservation.resize(m_reader.expectedBodyBytes());
+    if (m_waitsForRoom) {
+        m_roomTimer.expires_after(RoomRetryInterval);
+        // No read is pending meanwhile, so that only this handler keeps the connection alive.
+        m_roomTimer.async_wait([self = shared_from_this()](const ErrorCode &error) {
+            if (!error && self->m_phase == Phase::Reading) {
+                self->processInput();
+                self->waitForInput();
+            }
+        });
+    }
+    return !m_waitsForRoom;
+}
+
 void HttpServerConnection::startRequest()
 {
     m_phase = Phase::Handling;
@@ -154,6 +180,8 @@
     auto exchange = std::make_shared<Exchange>(shared_from_this());
     exchange->m_self = exchange;
     exchange->request = std::make_shared<HttpRequest>(m_reader.takeRequest());
+    exchange->request->reservation = std::make_shared<BufferReservation>(std::move(m_reservation));
+    m_reservation = BufferReservation(m_shared->limits.bufferBudget);
     exchange->remoteAddress = m_remoteAddress;
     m_exchange = exchange;
     m_shared->handler.handleRequest(std::move(exchange));
@@ -248,6 +276,8 @@
     m_phase = Phase::Closed;
     m_exchange.reset();
     m_timer.cancel();
+    m_roomTimer.cancel();
+    m_reservation = BufferReservation(nullptr);
     ErrorCode error;
     m_socket.close(error);
 }
--- a/src/net/httpserverconnection.h
+++ b/src/net/httpserverconnection.h
@@ -16,12 +16,16 @@
 // State that the connections of one server share.
 struct HttpServerShared
 {
-    HttpServerShared(ServerHandler &serverHandler, const HttpLimits &httpLimits) : handler(serverHandler), limits(httpLimits)
+    HttpServerShared(ServerHandler &serverHandler, const HttpLimits &httpLimits)
+        : handler(serverHandler), limits(httpLimits), headerBytes(limits.headerBytes), bodyBytes(limits.requestBodyBytes)
     {
     }
 
     ServerHandler &handler;
-    HttpLimits limits;
+    const HttpLimits limits;
+    // Bounds of the header and the body of a request, which may change while the server runs.
+    std::atomic<std::size_t> headerBytes;
+    std::atomic<std::size_t> bodyBytes;
     std::atomic<bool> closeAfterResponses = false;
     std::atomic<std::size_t> openConnections = 0;
 };
@@ -59,6 +63,9 @@
     void onInputReceived(std::string_view input);
     void onInputEnd();
     void processInput();
+    // Reserves room for the body of the current request. False if there is none yet: it is tried again after a short time, and nothing is
+    // read until then.
+    bool reserveBody();
     void startRequest();
     // Sends an error response and closes the connection after it.
     void rejectInput(unsigned status, std::string_view message);
@@ -84,7 +91,10 @@
     HttpResponse m_response;
     // Request in progress. The handler owns it, and it owns the connection; a strong reference here would be a cycle.
     std::weak_ptr<Exchange> m_exchange;
+    BufferReservation m_reservation;
+    Timer m_roomTimer;
     Phase m_phase = Phase::Reading;
+    bool m_waitsForRoom = false;
     bool m_keepAlive = true;
 };
 
--- a/src/net/peerpool.cpp
+++ b/src/net/peerpool.cpp
@@ -39,6 +39,12 @@
         return created;
     }
 
+    template <typename Action>
+    void post(Action action)
+    {
+        asio::post(m_context, std::move(action));
+    }
+
     void stop()
     {
         std::vector<std::shared_ptr<PeerClientSession>> sessions;
@@ -118,7 +124,7 @@
     if (const std::shared_ptr<PeerClientSession> session = m_impl->sessionFor(address)) {
         session->submit(job);
     } else {
-        job->finish(tl::unexpected(ExchangeError::NotProcessed));
+        m_impl->post([job] { job->finish(tl::unexpected(ExchangeError::NotProcessed)); });
     }
     return job;
 }
--- a/src/net/repeatingtimer.h
+++ b/src/net/repeatingtimer.h
@@ -24,8 +24,7 @@
         m_timer.expires_after(m_interval);
         m_timer.async_wait([this](const ErrorCode &error) {
             if (!error && !m_stopped) {
-                m_action();
-                start();
+                runAction();
             }
         });
     }
@@ -40,6 +39,18 @@
     }
 
 private:
+    // Starts the next interval also if the action throws.
+    void runAction()
+    {
+        try {
+            m_action();
+        } catch (...) {
+            start();
+            throw;
+        }
+        start();
+    }
+
     Timer m_timer;
     const std::chrono::milliseconds m_interval;
     const std::function<void()> m_action;
--- a/src/net/requestreader.cpp
+++ b/src/net/requestreader.cpp
@@ -2,6 +2,7 @@
 
 #include "net/asio.h"
 
+#include <algorithm>
 #include <cctype>
 #include <optional>
 
@@ -114,6 +115,26 @@
     m_impl->reset();
 }
 
+void RequestReader::setBounds(std::size_t headerBytes, std::size_t bodyBytes)
+{
+    const bool unchanged = m_impl->limits.headerBytes == headerBytes && m_impl->limits.requestBodyBytes == bodyBytes;
+    if (unchanged || m_impl->started) {
+        return;
+    }
+    m_impl->limits.headerBytes = headerBytes;
+    m_impl->limits.requestBodyBytes = bodyBytes;
+    m_impl->reset();
+}
+
+std::size_t RequestReader::expectedBodyBytes() const
+{
+    if (!m_impl->parser->is_header_done()) {
+        return 0;
+    }
+    const std::size_t received = m_impl->parser->get().body().size();
+    return std::max<std::size_t>(received, m_impl->parser->content_length().value_or(0));
+}
+
 bool RequestReader::hasStarted() const
 {
     return m_impl->started;
--- a/src/net/requestreader.h
+++ b/src/net/requestreader.h
@@ -30,6 +30,11 @@
     State consume(std::string_view &input);
     // Discards the current request and prepares for the next one.
     void startNextRequest();
+    // Sets the bounds of the following requests, beginning with the current one if it has not started.
+    void setBounds(std::size_t headerBytes, std::size_t bodyBytes);
+    // Size of the body of the current request: the announced length, or what has been received of a body in chunks. 0 before the end of the
+    // header.
+    std::size_t expectedBodyBytes() const;
     // True if at least one byte of the current request was parsed.
     bool hasStarted() const;
     // True if the sender waits for `100 Continue` before it sends the body. Returns true at most once for each request.
--- a/src/net/responsereader.cpp
+++ b/src/net/responsereader.cpp
@@ -12,6 +12,13 @@
 
 namespace http = boost::beast::http;
 
+namespace {
+
+// Interim responses (1xx) that are skipped before a response.
+constexpr unsigned MaxInterimResponses = 16;
+
+} // namespace
+
 class ResponseReader::Impl
 {
 public:
@@ -48,6 +55,7 @@
     bool allowCloseDelimited = false;
     std::optional<http::response_parser<http::string_body>> parser;
     bool isHeadRequest = false;
+    unsigned interimResponses = 0;
 };
 
 ResponseReader::ResponseReader(const HttpLimits &limits, bool allowCloseDelimited) : m_impl(std::make_unique<Impl>())
@@ -62,6 +70,7 @@
 void ResponseReader::start(bool isHeadRequest)
 {
     m_impl->isHeadRequest = isHeadRequest;
+    m_impl->interimResponses = 0;
     m_impl->start();
 }
 
@@ -79,6 +88,9 @@
         }
         const unsigned status = m_impl->parser->get().result_int();
         if (status < 200 && status != 101) {
+            if (++m_impl->interimResponses > MaxInterimResponses) {
+                return State::Malformed;
+            }
             if (m_impl->parser->is_done()) {
                 m_impl->start();
             }
@@ -126,6 +138,11 @@
     return response;
 }
 
+std::size_t ResponseReader::bodyBytes() const
+{
+    return m_impl->parser->get().body().size();
+}
+
 bool ResponseReader::isKeepAlive() const
 {
     return m_impl->parser->keep_alive();
--- a/src/net/responsereader.h
+++ b/src/net/responsereader.h
@@ -35,6 +35,8 @@
     std::string_view headerField(std::string_view name) const;
     // After `Complete`: moves the response out, without the header fields that apply to the connection only.
     HttpResponse takeResponse();
+    // Size of the body as far as it has been received.
+    std::size_t bodyBytes() const;
     // After `Complete`: true if the server keeps the connection open for further requests.
     bool isKeepAlive() const;
 
--- a/src/observability/eventcatalogue.cpp
+++ b/src/observability/eventcatalogue.cpp
@@ -16,8 +16,9 @@
 
 constexpr FieldNames<6> NodeStartedFields{"node", "incarnation", "service", "domain", "peerAddress", "version"};
 constexpr FieldNames<1> ReasonFields{"reason"};
-constexpr FieldNames<2> DrainFinishedFields{"releasedRecords", "seconds"};
+constexpr FieldNames<2> DrainFinishedFields{"openRequests", "seconds"};
 constexpr FieldNames<3> ListenerFailedFields{"listener", "address", "error"};
+constexpr FieldNames<1> HandlerFailedFields{"error"};
 constexpr FieldNames<2> ConfigurationFields{"version", "source"};
 constexpr FieldNames<2> OlderConfigurationFields{"version", "inForce"};
 constexpr FieldNames<3> FingerprintFields{"fingerprint", "service", "crashes"};
@@ -38,6 +39,7 @@
 constexpr FieldNames<1> SettingsRereadFields{"file"};
 constexpr FieldNames<2> PublishedValueRejectedFields{"key", "error"};
 constexpr FieldNames<2> PeerStateReadFields{"address", "items"};
+constexpr FieldNames<1> SourceReadingFields{"state"};
 constexpr FieldNames<6> ServingLoadFields{"limit", "running", "queued", "waitMs", "pressure", "openCalls"};
 
 constexpr std::array Catalogue{
@@ -47,6 +49,7 @@
     EventDescription{Number::DrainFinished, "drain-finished", Severity::Info, DrainFinishedFields},
     EventDescription{Number::DrainCancelled, "drain-cancelled", Severity::Info, ReasonFields},
     EventDescription{Number::ListenerFailed, "listener-failed", Severity::Error, ListenerFailedFields},
+    EventDescription{Number::HandlerFailed, "handler-failed", Severity::Error, HandlerFailedFields},
     EventDescription{Number::ConfigurationInForce, "configuration-in-force", Severity::Info, ConfigurationFields},
     EventDescription{Number::OlderConfigurationIgnored, "older-configuration-ignored", Severity::Warning, OlderConfigurationFields},
     EventDescription{Number::RequestSuspected, "request-suspected", Severity::Warning, FingerprintFields},
@@ -70,6 +73,7 @@
     EventDescription{Number::PublishedValueRejected, "published-value-rejected", Severity::Warning, PublishedValueRejectedFields},
     EventDescription{Number::ServingLoad, "serving-load", Severity::Info, ServingLoadFields},
     EventDescription{Number::PeerStateRead, "peer-state-read", Severity::Info, PeerStateReadFields},
+    EventDescription{Number::SourceReading, "source-reading", Severity::Info, SourceReadingFields},
 };
 
 } // namespace
--- a/src/observability/eventnumber.h
+++ b/src/observability/eventnumber.h
@@ -13,6 +13,7 @@
     DrainFinished = 103,
     DrainCancelled = 104,
     ListenerFailed = 106,
+    HandlerFailed = 107,
     // Configuration
     ConfigurationInForce = 300,
     OlderConfigurationIgnored = 304,
@@ -41,6 +42,7 @@
     PublishedValueRejected = 1009,
     ServingLoad = 1010,
     PeerStateRead = 1011,
+    SourceReading = 1012,
 };
 
 } // namespace wisteriafork
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -32,22 +32,32 @@
 constexpr std::size_t MaxBodyBytes = std::size_t{64} * 1024 * 1024;
 constexpr std::chrono::seconds CallerIdleTimeout{120};
 
-HttpLimits callerLimits()
+HttpLimits callerLimits(std::shared_ptr<BufferBudget> bufferBudget)
 {
     HttpLimits limits;
+    limits.bufferBudget = std::move(bufferBudget);
     limits.requestBodyBytes = MaxBodyBytes;
     limits.responseBodyBytes = MaxBodyBytes;
     limits.idleTimeout = CallerIdleTimeout;
     return limits;
 }
 
-HttpClientOptions serverOptions(const RelaySettings &settings)
+HttpClientOptions serverOptions(const RelaySettings &settings, std::shared_ptr<BufferBudget> bufferBudget)
 {
-    return {.server = settings.serverEndpoint,
-            .maxConnections = MaxServerConnections,
-            .connectTimeout = ServerConnectTimeout,
-            .allowCloseDelimited = true,
-            .echoedField = settings.serverEchoesIds ? settings.headers.requestId : std::string()};
+    HttpClientOptions options{.server = settings.serverEndpoint,
+                              .maxConnections = MaxServerConnections,
+                              .connectTimeout = ServerConnectTimeout,
+                              .allowCloseDelimited = true,
+                              .echoedField = settings.serverEchoesIds ? settings.headers.requestId : std::string()};
+    options.limits.bufferBudget = std::move(bufferBudget);
+    return options;
+}
+
+PeerOptions peerOptions(const RelaySettings &settings, std::shared_ptr<BufferBudget> bufferBudget)
+{
+    PeerOptions options = relayPeerOptions(settings);
+    options.limits.bufferBudget = std::move(bufferBudget);
+    return options;
 }
 
 } // namespace
@@ -65,13 +75,14 @@
     };
 
     Impl(asio::io_context &context, RelaySettings settings, EventLog &log, RelayNode::Callbacks callbacks)
-        : server(context, serverOptions(settings))
-        , peerPool(context, relayPeerOptions(settings))
+        : bufferBudget(std::make_shared<BufferBudget>(settings.bufferBytes))
+        , server(context, serverOptions(settings, bufferBudget))
+        , peerPool(context, peerOptions(settings, bufferBudget))
         , node(context, std::move(settings), clock, log, std::move(callbacks), server, peerPool)
         , parts(node.parts())
         , readiness([this] { return parts.routes != nullptr && !parts.stopping && !draining; }, [this] { return node.metricsText(); })
-        , callerServer(context, node.callerHandler(), callerLimits())
-        , peerServer(context, node.peerHandler(), relayPeerOptions(parts.settings))
+        , callerServer(context, node.callerHandler(), callerLimits(bufferBudget))
+        , peerServer(context, node.peerHandler(), peerOptions(parts.settings, bufferBudget))
         , readinessServer(context, readiness, HttpLimits{})
         , metricsServer(context, readiness.metrics(), HttpLimits{})
         , pollTimer(context, PollInterval, [this] { pollRequests(); })
@@ -118,23 +129,26 @@
     void endStop()
     {
         const Duration elapsedTime = clock.now() - stopStartTime;
-        parts.log.write(EventNumber::DrainFinished,
-                        {"0", std::to_string(std::chrono::duration_cast<std::chrono::seconds>(elapsedTime).count())});
-        finish();
+        const std::size_t openRequests = node.openRequestCount();
+        parts.log.write(
+            EventNumber::DrainFinished,
+            {std::to_string(openRequests), std::to_string(std::chrono::duration_cast<std::chrono::seconds>(elapsedTime).count())});
+        finish(openRequests);
     }
 
-    void finish()
+    void finish(std::size_t openRequests)
     {
         pollTimer.stop();
         tickTimer.stop();
         server.stop();
         peerPool.stop();
         if (const auto notifyStopped = std::exchange(onStopped, nullptr)) {
-            notifyStopped();
+            notifyStopped(openRequests);
         }
     }
 
     SteadyClock clock;
+    std::shared_ptr<BufferBudget> bufferBudget;
     HttpClient server;
     PeerPool peerPool;
     RelayNode node;
@@ -146,7 +160,7 @@
     HttpServer metricsServer;
     RepeatingTimer pollTimer;
     RepeatingTimer tickTimer;
-    std::function<void()> onStopped;
+    std::function<void(std::size_t)> onStopped;
     TimePoint stopStartTime;
     TimePoint phaseStartTime;
     StopPhase stopPhase = StopPhase::CallerNotice;
@@ -186,6 +200,13 @@
     return m_impl->node;
 }
 
+void Relay::setCallerLimits(const CallerLimits &limits)
+{
+    const HttpLimits defaults = callerLimits(nullptr);
+    m_impl->callerServer.setRequestBounds(limits.headerBytes != 0 ? limits.headerBytes : defaults.headerBytes,
+                                          limits.bodyBytes != 0 ? std::min(limits.bodyBytes, MaxBodyBytes) : MaxBodyBytes);
+}
+
 void Relay::setDraining(bool draining)
 {
     if (std::exchange(m_impl->draining, draining) != draining) {
@@ -198,7 +219,7 @@
     return m_impl->draining || m_impl->parts.stopping;
 }
 
-void Relay::stop(std::function<void()> onStopped)
+void Relay::stop(std::function<void(std::size_t)> onStopped)
 {
     if (m_impl->parts.stopping) {
         return;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/relay/callerlimits.h"
 #include "net/asio.h"
 #include "relay/relaynode.h"
 
@@ -23,13 +24,16 @@
     RelayNode &node();
     const RelayNode &node() const;
 
+    // Sets the bounds of what callers may send. Bodies beyond the bound are refused before they are read.
+    void setCallerLimits(const CallerLimits &limits);
     // Makes the readiness check fail while `draining` is set, so that callers go elsewhere. All requests are still served.
     void setDraining(bool draining);
     // True while draining is set, and from the start of a shutdown.
     bool isDraining() const;
 
-    // Shuts down gracefully: accepts no new requests, finishes those in flight, then calls `onStopped` once. Further calls do nothing.
-    void stop(std::function<void()> onStopped);
+    // Shuts down gracefully: accepts no new requests, finishes those in flight, then calls `onStopped` once with the number of requests that
+    // were still open at the end of the grace period. Further calls do nothing.
+    void stop(std::function<void(std::size_t openRequests)> onStopped);
 
 private:
     class Impl;
--- a/src/relay/relaycall.cpp
+++ b/src/relay/relaycall.cpp
@@ -2,6 +2,7 @@
 
 #include "core/base/durationseconds.h"
 #include "core/base/hashing.h"
+#include "core/crashguard/trialserver.h"
 #include "net/errorresponse.h"
 
 #include <charconv>
@@ -53,9 +54,14 @@
         refuse(RefusalReason::Draining, "stopping");
         return;
     }
-    if (m_parts.crashGuard.suspectCount() > 0 && m_parts.crashGuard.isBanned(RelayRequest{.http = m_exchange->request}.fingerprint())) {
-        refuse(RefusalReason::SuspectedOfCrash, "suspected-of-crash");
-        return;
+    if (m_parts.crashGuard.suspectCount() > 0) {
+        const RequestKey fingerprint = RelayRequest{.http = m_exchange->request}.fingerprint();
+        if (m_parts.crashGuard.isTrialDue(fingerprint)) {
+            m_trialFingerprint = fingerprint;
+        } else if (m_parts.crashGuard.isBanned(fingerprint)) {
+            refuse(RefusalReason::SuspectedOfCrash, "suspected-of-crash");
+            return;
+        }
     }
     m_priority = m_route->priority;
     if (parent != nullptr) {
@@ -125,6 +131,14 @@
 
 bool RelayCall::sendToNextInstance()
 {
+    if (m_trialFingerprint) {
+        const Instance *trial = trialServer(m_parts.directory.instancesOf(m_service), *m_trialFingerprint);
+        if (trial == nullptr || !m_triedInstances.empty()) {
+            return false;
+        }
+        sendToInstance(*trial);
+        return true;
+    }
     if (m_reachedInstances.size() >= m_route->maxAttempts) {
         return resendToTriedInstance();
     }
--- a/src/relay/relaycall.h
+++ b/src/relay/relaycall.h
@@ -103,6 +103,8 @@
     unsigned m_priority = 0;
     // The request that the backend server runs was itself a retry, so this call repeats an earlier one.
     bool m_isRetry = false;
+    // Fingerprint of a request that was in flight at crashes and is tried once more, on the trial server only.
+    std::optional<RequestKey> m_trialFingerprint;
     // Hash that is equal for all attempts of a caller at the same request.
     std::uint64_t m_admissionIdentity = 0;
     TimePoint m_deadline;
--- a/src/relay/relaysettings.h
+++ b/src/relay/relaysettings.h
@@ -44,6 +44,8 @@
     std::uint64_t seed = 1;
     // Increases with each start of the process.
     Incarnation incarnation = 0;
+    // Bytes of all requests and responses that the node buffers together, apart from small ones.
+    std::size_t bufferBytes = std::size_t{64} * 1024 * 1024;
     EdgeAdmissionOptions admission;
     InstanceDirectoryOptions directory;
     PlacementOptions placement;
--- a/src/relay/servinggateway.cpp
+++ b/src/relay/servinggateway.cpp
@@ -1,5 +1,7 @@
 #include "relay/servinggateway.h"
 
+#include "core/crashguard/trialserver.h"
+
 #include <algorithm>
 #include <charconv>
 
@@ -100,7 +102,7 @@
 bool ServingGateway::isLeaving(const std::string &instance) const
 {
     const Instance *listed = m_parts.directory.find(instance);
-    return listed != nullptr && listed->draining;
+    return listed != nullptr ? listed->draining : m_parts.directory.wasRemoved(instance);
 }
 
 void ServingGateway::refuseCallsToLeavingInstances()
@@ -119,7 +121,9 @@
 void ServingGateway::startCall(CallId id)
 {
     Call &call = m_calls.at(id);
-    const CrashGuardDecision decision = m_parts.crashGuard.tryStart(id, call.request.fingerprint());
+    const RequestKey fingerprint = call.request.fingerprint();
+    const bool isTrialServer = m_parts.crashGuard.isTrialDue(fingerprint) && isTrialInstance(call.request.instance, fingerprint);
+    const CrashGuardDecision decision = m_parts.crashGuard.tryStart(id, fingerprint, isTrialServer);
     if (decision == CrashGuardDecision::Refuse || decision == CrashGuardDecision::Wait) {
         // If two suspects ran at the same time, it would be unclear which of them crashes the backend server. The second one is sent to
         // another instance.
@@ -143,6 +147,12 @@
                                   [this, id](tl::expected<HttpResponse, ExchangeError> result) { onServerResult(id, std::move(result)); });
 }
 
+bool ServingGateway::isTrialInstance(const std::string &instance, const RequestKey &fingerprint) const
+{
+    const Instance *listed = m_parts.directory.find(instance);
+    return listed != nullptr && trialServer(m_parts.directory.instancesOf(listed->service), fingerprint) == listed;
+}
+
 void ServingGateway::onServerResult(CallId id, tl::expected<HttpResponse, ExchangeError> result)
 {
     const auto found = m_calls.find(id);
@@ -180,11 +190,34 @@
     } else if (result.error() == ExchangeError::NotProcessed) {
         m_parts.crashGuard.onAbandoned(id);
         m_parts.crashGuard.onConnectionRefused();
-    } else {
+    } else if (result.error() == ExchangeError::Interrupted) {
         m_parts.crashGuard.onConnectionBroken(id);
+        confirmCrash();
+    } else {
+        // This side closed the connection: the backend server runs.
+        m_parts.crashGuard.onAbandoned(id);
     }
 }
 
+void ServingGateway::confirmCrash()
+{
+    if (m_probePending || !m_parts.crashGuard.awaitsConfirmation()) {
+        return;
+    }
+    m_probePending = true;
+    m_server.probe([this, alive = std::weak_ptr<const bool>(m_alive)](bool accepted) {
+        if (alive.expired()) {
+            return;
+        }
+        m_probePending = false;
+        if (accepted) {
+            m_parts.crashGuard.onConnectionAccepted();
+        } else {
+            m_parts.crashGuard.onConnectionRefused();
+        }
+    });
+}
+
 AttemptOutcome ServingGateway::classifyResult(tl::expected<HttpResponse, ExchangeError> result) const
 {
     if (!result) {
--- a/src/relay/servinggateway.h
+++ b/src/relay/servinggateway.h
@@ -48,12 +48,16 @@
         bool running = false;
     };
 
-    // True if the instance is draining: requests that it has not started are sent to other instances.
+    // True if the instance is draining or no longer listed: requests that it has not started are sent to other instances.
     bool isLeaving(const std::string &instance) const;
     void refuseCallsToLeavingInstances();
     // Sends a request that the queue has started to the backend server, or refuses it if the crash guard does not let it run.
     void startCall(CallId id);
+    // True if a banned fingerprint may be tried on this instance.
+    bool isTrialInstance(const std::string &instance, const RequestKey &fingerprint) const;
     void onServerResult(CallId id, tl::expected<HttpResponse, ExchangeError> result);
+    // Checks with a new connection whether the backend server has crashed, if connections that broke leave it open.
+    void confirmCrash();
     void reportToCrashGuard(CallId id, const tl::expected<HttpResponse, ExchangeError> &result);
     // What a response or a transport error says about the execution of the request.
     AttemptOutcome classifyResult(tl::expected<HttpResponse, ExchangeError> result) const;
@@ -73,6 +77,9 @@
     // Instances that the backend server has denied to be, each with the time until which requests for it are refused without asking.
     std::unordered_map<std::string, TimePoint> m_misdirectedUntil;
     CallId m_lastId = 0;
+    bool m_probePending = false;
+    // Lets the handler of a probe find out whether this object still exists.
+    std::shared_ptr<const bool> m_alive = std::make_shared<const bool>(true);
 };
 
 } // namespace wisteriafork
--- a/tests/crashguard/crashguard_test.cpp
+++ b/tests/crashguard/crashguard_test.cpp
@@ -77,6 +77,8 @@
     peer.onReportsReceived(*guard.takeReports());
     CHECK_TRUE(peer.tryStart(1, CrashingRequest) == CrashGuardDecision::RunAlone);
     peer.onConnectionBroken(1);
+    CHECK_TRUE(peer.awaitsConfirmation());
+    peer.onConnectionRefused();
     guard.onReportsReceived(*peer.takeReports());
 
     CHECK_TRUE(peer.tryStart(2, CrashingRequest) == CrashGuardDecision::Refuse);
@@ -129,3 +131,71 @@
     LONGS_EQUAL(3, bounded.suspectCount());
     CHECK_TRUE(bounded.isBanned(CrashingRequest));
 }
+
+// Guards against a ban after connections that were reset together beside a backend server that still accepts new ones.
+TEST(CrashGuard, ignoresConnectionsThatBreakTogetherWhenANewOneIsAccepted)
+{
+    for (CallId call = 1; call <= 6; call += 2) {
+        guard.tryStart(call, HarmlessRequest);
+        guard.tryStart(call + 1, HarmlessRequest);
+        guard.onConnectionBroken(call);
+        guard.onConnectionBroken(call + 1);
+        CHECK_TRUE(guard.awaitsConfirmation());
+        guard.onConnectionAccepted();
+        CHECK_FALSE(guard.awaitsConfirmation());
+    }
+
+    LONGS_EQUAL(0, guard.suspectCount());
+}
+
+// Guards against a crash that goes unnoticed although all connections broke and a new one is refused.
+TEST(CrashGuard, suspectsAllCallsThatBrokeTogetherWhenANewConnectionIsRefused)
+{
+    guard.tryStart(1, HarmlessRequest);
+    guard.tryStart(2, CrashingRequest);
+    guard.onConnectionBroken(1);
+    CHECK_FALSE(guard.awaitsConfirmation());
+    guard.onConnectionBroken(2);
+    guard.onConnectionRefused();
+
+    LONGS_EQUAL(2, guard.suspectCount());
+}
+
+// Guards against a harmless request that is refused for an hour because it was in flight when two backend servers crashed.
+TEST(CrashGuard, servesABannedRequestAgainAfterATrialThatCompletes)
+{
+    crash(guard, 1, HarmlessRequest);
+    crash(guard, 2, HarmlessRequest);
+    peer.onReportsReceived(*guard.takeReports());
+    CHECK_TRUE(peer.isBanned(HarmlessRequest));
+    CHECK_TRUE(guard.tryStart(3, HarmlessRequest, true) == CrashGuardDecision::Refuse);
+
+    clock.advance(std::chrono::seconds(10));
+    CHECK_TRUE(guard.tryStart(4, HarmlessRequest) == CrashGuardDecision::Refuse);
+    CHECK_TRUE(guard.tryStart(5, HarmlessRequest, true) == CrashGuardDecision::RunAlone);
+    CHECK_TRUE(guard.tryStart(6, HarmlessRequest, true) == CrashGuardDecision::Refuse);
+    guard.onCompleted(5);
+    peer.onReportsReceived(*guard.takeReports());
+
+    CHECK_FALSE(guard.isBanned(HarmlessRequest));
+    CHECK_FALSE(peer.isBanned(HarmlessRequest));
+}
+
+// Guards against trials that crash backend servers at a constant rate.
+TEST(CrashGuard, triesACrashingRequestAtGrowingIntervals)
+{
+    crash(guard, 1, CrashingRequest);
+    crash(guard, 2, CrashingRequest);
+    unsigned trials = 0;
+    for (CallId call = 3; call < 3 + 600; ++call) {
+        clock.advance(std::chrono::seconds(1));
+        if (guard.tryStart(call, CrashingRequest, true) == CrashGuardDecision::RunAlone) {
+            ++trials;
+            guard.onConnectionBroken(call);
+            guard.onConnectionRefused();
+        }
+    }
+
+    // 10, 50 and 210 s after the second crash; the next one is due after 850 s.
+    LONGS_EQUAL(3, trials);
+}
--- /dev/null
+++ b/tests/net/httpclient_test.cpp
@@ -0,0 +1,211 @@
+#include "echoserver.h"
+#include "net/httpclient.h"
+#include "rawserver.h"
+
+#include <future>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace wisteriafork;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char *KeptResponse = "HTTP/1.1 200 OK\r\nx-id: 1\r\nContent-Length: 2\r\n\r\nok";
+// Bounds the duration of failing tests only.
+constexpr auto LongWait = 20s;
+
+} // namespace
+
+TEST_GROUP(HttpClient)
+{
+    RunningContext running;
+    std::shared_ptr<BufferBudget> budget = std::make_shared<BufferBudget>(std::size_t{4} * 1024 * 1024);
+
+    HttpClientOptions optionsFor(const RawServer &server)
+    {
+        HttpClientOptions options{.server = server.address(), .allowCloseDelimited = true, .echoedField = "x-id"};
+        options.limits.bufferBudget = budget;
+        return options;
+    }
+
+    static std::future<tl::expected<HttpResponse, ExchangeError>> send(HttpClient &client, std::string body = {})
+    {
+        auto request = std::make_shared<HttpRequest>(HttpRequest{.method = "POST", .target = "/", .body = std::move(body)});
+        request->headers.add("x-id", "1");
+        auto promise = std::make_shared<std::promise<tl::expected<HttpResponse, ExchangeError>>>();
+        client.send(request, {}, [promise](tl::expected<HttpResponse, ExchangeError> result) { promise->set_value(std::move(result)); });
+        return promise->get_future();
+    }
+
+    static ExchangeError errorOf(std::future<tl::expected<HttpResponse, ExchangeError>> future)
+    {
+        CHECK_TEXT(future.wait_for(LongWait) == std::future_status::ready, "the exchange does not end");
+        const auto result = future.get();
+        CHECK_TEXT(!result.has_value(), "an incomplete response counts as complete");
+        return result.error();
+    }
+};
+
+// Guards against bytes without end in a header: memory that grows until the deadline of the request.
+TEST(HttpClient, CutsAHeaderWithoutEnd)
+{
+    RawServer server([](Tcp::socket &socket, unsigned) {
+        RawServer::readHeader(socket);
+        RawServer::send(socket, "HTTP/1.1 200 OK\r\nx-a: ");
+        while (RawServer::send(socket, std::string(16 * 1024, 'a'))) {
+        }
+    });
+    HttpClient client(running.context, optionsFor(server));
+
+    CHECK(errorOf(send(client)) == ExchangeError::MalformedResponse);
+}
+
+// Guards against a chunk header or a trailer without end, which the parser buffers although the header of the response is complete.
+TEST(HttpClient, CutsAChunkHeaderWithoutEnd)
+{
+    RawServer server([](Tcp::socket &socket, unsigned) {
+        RawServer::readHeader(socket);
+        RawServer::send(socket, "HTTP/1.1 200 OK\r\nx-id: 1\r\nTransfer-Encoding: chunked\r\n\r\n5;a=");
+        while (RawServer::send(socket, std::string(16 * 1024, 'a'))) {
+        }
+    });
+    HttpClient client(running.context, optionsFor(server));
+
+    CHECK(errorOf(send(client)) == ExchangeError::MalformedResponse);
+}
+
+// Guards against interim responses without end.
+TEST(HttpClient, CutsInterimResponsesWithoutEnd)
+{
+    RawServer server([](Tcp::socket &socket, unsigned) {
+        RawServer::readHeader(socket);
+        while (RawServer::send(socket, "HTTP/1.1 102 Processing\r\n\r\n")) {
+        }
+    });
+    HttpClient client(running.context, optionsFor(server));
+
+    CHECK(errorOf(send(client)) == ExchangeError::MalformedResponse);
+}
+
+// Guards against bodies without end on many connections at once, which are each below their own bound and together exceed the memory of the
+// host, and against an ordinary response that is cut off because of them.
+TEST(HttpClient, BodiesWithoutEndStayWithinTheCommonBound)
+{
+    constexpr unsigned EndlessConnections = 50;
+    std::atomic<std::size_t> mostUsed = 0;
+    RawServer server([&](Tcp::socket &socket, unsigned connection) {
+        RawServer::readHeader(socket);
+        if (connection >= EndlessConnections) {
+            RawServer::send(socket, KeptResponse);
+            return;
+        }
+        RawServer::send(socket, connection % 2 == 0 ? "HTTP/1.1 200 OK\r\nx-id: 1\r\n\r\n"
+                                                    : "HTTP/1.1 200 OK\r\nx-id: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
+        const std::string piece(16 * 1024, 'b');
+        while (RawServer::send(socket, connection % 2 == 0 ? piece : "4000\r\n" + piece + "\r\n")) {
+            mostUsed = std::max<std::size_t>(mostUsed, budget->usedBytes());
+        }
+    });
+    HttpClient client(running.context, optionsFor(server));
+    std::vector<std::future<tl::expected<HttpResponse, ExchangeError>>> endless;
+    for (unsigned number = 0; number < EndlessConnections; ++number) {
+        endless.push_back(send(client));
+    }
+    auto ordinary = send(client);
+
+    CHECK(ordinary.wait_for(LongWait) == std::future_status::ready);
+    CHECK(ordinary.get().has_value());
+    for (auto &future : endless) {
+        CHECK(errorOf(std::move(future)) == ExchangeError::ResponseTooLarge);
+    }
+    CHECK(mostUsed <= std::size_t{4} * 1024 * 1024);
+    LONGS_EQUAL(0, budget->usedBytes());
+}
+
+// Guards against a response that broke off halfway and is passed on as complete, with and without a length and in chunks.
+TEST(HttpClient, AResponseThatBreaksOffIsNeverComplete)
+{
+    const std::array<const char *, 3> starts{"HTTP/1.1 200 OK\r\nx-id: 1\r\nContent-Length: 10\r\n\r\nhalf",
+                                             "HTTP/1.1 200 OK\r\nx-id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+                                             "HTTP/1.1 200 OK\r\nx-id: 1\r\n\r\nhalf"};
+    RawServer server([&](Tcp::socket &socket, unsigned connection) {
+        RawServer::readHeader(socket);
+        RawServer::send(socket, starts.at(connection));
+        // With a linger time of zero the connection is reset.
+        socket.set_option(asio::socket_base::linger(connection == 2, 0));
+        socket.close();
+    });
+    HttpClient client(running.context, optionsFor(server));
+
+    for (std::size_t number = 0; number < starts.size(); ++number) {
+        CHECK(errorOf(send(client)) == ExchangeError::Interrupted);
+    }
+}
+
+// Guards against a second copy of a response that arrives late, on a connection that is in use again.
+TEST(HttpClient, ALateSecondCopyOfAResponseIsNotTakenForTheNextOne)
+{
+    RawServer server([](Tcp::socket &socket, unsigned) {
+        RawServer::readHeader(socket);
+        RawServer::send(socket, KeptResponse);
+        if (!RawServer::readHeader(socket).empty()) {
+            RawServer::send(socket, KeptResponse);
+            RawServer::send(socket, "HTTP/1.1 200 OK\r\nx-id: 2\r\nContent-Length: 3\r\n\r\nnew");
+        }
+    });
+    HttpClient client(running.context, optionsFor(server));
+    CHECK(send(client).get().has_value());
+    auto request = std::make_shared<HttpRequest>(HttpRequest{.method = "GET", .target = "/"});
+    request->headers.add("x-id", "2");
+    std::promise<tl::expected<HttpResponse, ExchangeError>> second;
+
+    client.send(request, {}, [&](tl::expected<HttpResponse, ExchangeError> result) { second.set_value(std::move(result)); });
+
+    const auto result = second.get_future().get();
+    STRCMP_EQUAL("new", result.has_value() ? result->body.c_str() : "no response");
+}
+
+// Guards against a connection that is closed, or used for the next request in the middle of a body, after a server responded before it had
+// read the whole body of a request.
+TEST(HttpClient, AnEarlyResponseLeavesTheRestOfTheBodyInItsPlace)
+{
+    constexpr std::size_t BodyBytes = std::size_t{8} * 1024 * 1024;
+    std::promise<std::string> rest;
+    std::promise<std::string> nextHeader;
+    std::promise<void> readOn;
+    RawServer server([&](Tcp::socket &socket, unsigned) {
+        RawServer::readHeader(socket);
+        RawServer::send(socket, KeptResponse);
+        readOn.get_future().wait();
+        rest.set_value(RawServer::readBytes(socket, BodyBytes));
+        nextHeader.set_value(RawServer::readHeader(socket));
+        RawServer::send(socket, KeptResponse);
+    });
+    HttpClientOptions options = optionsFor(server);
+    options.maxConnections = 1;
+    HttpClient client(running.context, options);
+
+    CHECK(send(client, std::string(BodyBytes, 'u')).get().has_value());
+    auto next = send(client);
+    readOn.set_value();
+
+    CHECK(rest.get_future().get() == std::string(BodyBytes, 'u'));
+    CHECK(nextHeader.get_future().get().starts_with("POST / HTTP/1.1\r\n"));
+    CHECK(next.get().has_value());
+}
+
+// Guards against a handler that is called before `send` has returned: its caller has not stored the exchange yet.
+TEST(HttpClient, AStoppedClientEndsRequestsAfterSendHasReturned)
+{
+    HttpClient client(running.context, {.server = Tcp::endpoint(asio::ip::address_v4::loopback(), 1)});
+    client.stop();
+    std::promise<bool> calledWithin;
+    asio::post(running.context, [&] {
+        const auto returned = std::make_shared<bool>(false);
+        client.send(std::make_shared<HttpRequest>(), {}, [&, returned](const auto &) { calledWithin.set_value(!*returned); });
+        *returned = true;
+    });
+
+    CHECK_FALSE(calledWithin.get_future().get());
+}
--- a/tests/net/httpserver_test.cpp
+++ b/tests/net/httpserver_test.cpp
@@ -161,3 +161,51 @@
     CHECK(contains(client.readToEnd(), "Connection: close\r\n\r\nGET /hold "));
     CHECK(waitUntil([&] { return server.connectionCount() == 0; }));
 }
+
+// Guards against a body that is read although it is larger than allowed.
+TEST(HttpServer, refusesAnAnnouncedBodyThatIsTooLargeBeforeItArrives)
+{
+    RawClient client(server.address());
+
+    client.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n");
+
+    CHECK_TRUE(contains(client.readUntil("\r\n\r\n"), "413"));
+}
+
+// Guards against bounds of the configuration that apply only to connections that are opened later.
+TEST(HttpServer, appliesNewBoundsToTheNextRequestOfAConnection)
+{
+    RawClient client(server.address());
+    client.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab");
+    CHECK_TRUE(contains(client.readUntil("\r\n\r\n"), "200"));
+
+    server.setRequestBounds(2048, 1);
+    client.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab");
+
+    CHECK_TRUE(contains(client.readToEnd(), "413"));
+}
+
+// Guards against many large bodies that are each allowed and together exceed the memory of the host.
+TEST(HttpServer, readsLargeBodiesOneAfterAnotherWhenTheyDoNotFitTogether)
+{
+    constexpr std::size_t BodyBytes = 200'000;
+    HttpLimits limits;
+    limits.bufferBudget = std::make_shared<BufferBudget>(3 * BodyBytes / 2);
+    HttpServer bounded(running.context, handler, limits);
+    bounded.listen(Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    const std::string header = "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: " + std::to_string(BodyBytes) + "\r\n\r\n";
+    RawClient slow(bounded.address());
+    slow.send(header + "a");
+    while (limits.bufferBudget->usedBytes() == 0) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    RawClient waiting(bounded.address());
+    waiting.send(header + std::string(BodyBytes, 'b'));
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    LONGS_EQUAL(BodyBytes, limits.bufferBudget->usedBytes());
+
+    slow.send(std::string(BodyBytes - 1, 'a'));
+    CHECK_TRUE(contains(slow.readToEnd(), "200"));
+
+    CHECK_TRUE(contains(waiting.readToEnd(), "200"));
+}
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -303,7 +303,7 @@
                 [&](tl::expected<HttpResponse, ExchangeError> response) { status.set_value(response ? response->status : 0); });
     CHECK(waitFor([&] { return !books.requests().empty(); }));
 
-    stopping.run([&] { stopping.relay.stop([&] { stopped.set_value(); }); });
+    stopping.run([&] { stopping.relay.stop([&](std::size_t) { stopped.set_value(); }); });
     std::this_thread::sleep_for(LaterPhasesDuration);
     books.release();
 
@@ -316,7 +316,7 @@
 
 TEST(Relay, ServesRequestsOfOtherNodesInTheFirstPhaseOfAShutdown)
 {
-    back.run([this] { back.relay.stop([] {}); });
+    back.run([this] { back.relay.stop([](std::size_t) {}); });
     std::this_thread::sleep_for(LaterPhasesDuration);
 
     LONGS_EQUAL(200, ask("POST", "/book/1")->status);
@@ -330,7 +330,7 @@
     stopping.run([&] {
         stopping.relay.node().applyRoutes(RouteTable(1, {testRoute("book", "/book/", RequestKind::NonIdempotent)}));
         stopping.relay.node().putInstance(back.instance("i-1"));
-        stopping.relay.stop([] {});
+        stopping.relay.stop([](std::size_t) {});
     });
 
     CHECK_TEXT(waitFor([&] {
--- a/tests/relay/servinggateway_test.cpp
+++ b/tests/relay/servinggateway_test.cpp
@@ -79,3 +79,52 @@
     }
     running.stop();
 }
+
+// Guards against requests that reach an instance long after its entry was removed, because their sender has an older list.
+TEST(ServingGateway, RefusesRequestsForAnInstanceThatIsNoLongerListed)
+{
+    const RelayRequest request{.http = std::make_shared<HttpRequest>(HttpRequest{.method = "POST", .target = "/book/1"}),
+                               .instance = "i-1",
+                               .route = "book",
+                               .deadline = clock.now() + std::chrono::seconds(20)};
+    parts.directory.insertOrReplace({.id = "i-1", .address = "a:1"});
+    parts.directory.remove("i-1");
+
+    const AttemptOutcome outcome = serve(request);
+
+    const auto *notExecuted = std::get_if<NotExecuted>(&outcome.result);
+    CHECK((notExecuted != nullptr ? notExecuted->reason : NotExecutedReason::Overloaded) == NotExecutedReason::Leaving);
+    CHECK(shop.requests().empty());
+}
+
+// Guards against a popular request that is banned because several of its responses are broken off at the same time, although the backend
+// server runs on.
+TEST(ServingGateway, BrokenResponsesOfARunningServerBanNoRequest)
+{
+    FakeInstance breaking(running.context, [](ServerExchange &exchange) {
+        // The exchange ends without a response when its connection is closed.
+        exchange.respond({.status = 999, .closeConnection = true});
+    });
+    HttpClient breakingClient(running.context, {.server = breaking.address()});
+    ServingGateway breakingGateway(parts, breakingClient);
+    const RelayRequest request{.http = std::make_shared<HttpRequest>(HttpRequest{.method = "GET", .target = "/popular"}),
+                               .instance = "i-1",
+                               .route = "read",
+                               .deadline = clock.now() + std::chrono::seconds(20)};
+
+    for (int round = 0; round < 3; ++round) {
+        std::vector<std::promise<void>> ended(5);
+        asio::post(running.context, [&] {
+            parts.queue.setSlots(10);
+            for (std::promise<void> &promise : ended) {
+                breakingGateway.serve(request, [&](const AttemptOutcome &) { promise.set_value(); });
+            }
+        });
+        for (std::promise<void> &promise : ended) {
+            promise.get_future().wait();
+        }
+    }
+
+    LONGS_EQUAL(0, parts.crashGuard.suspectCount());
+    running.stop();
+}
