Size the retry budget by the fleet and keep the list of instances consistent

Causes: each node could save two retries, 190 in a fleet of 95 nodes whose slack is 124. An instance that changed its service lost its address, one that moved kept the old one, and removing an entry walked all addresses. An entry of another writer with an unknown service displaced the instance at its address.

Changes: what a node may save follows from the slack, the number of nodes and its own recent sends. Removed ids are remembered, so that the node beside an instance refuses what arrives after its removal. Equal instances are chosen at random.

Seen: the tests of both classes pass; those for 95 nodes, restarts, changed service, moved address and unknown service describe what the old code did wrong.

--- a/src/core/relay/instancedirectory.cpp
+++ b/src/core/relay/instancedirectory.cpp
@@ -12,6 +12,12 @@
 void InstanceDirectory::insertOrReplace(Instance instance)
 {
     m_heldRemovals.erase(instance.id);
+    m_removedAt.erase(instance.id);
+    if (!isKnownService(instance.service)) {
+        // No request goes there, so that the entry must not displace the one of an instance at the same address.
+        storeEntry(std::move(instance));
+        return;
+    }
     if (const auto other = m_idByAddress.find(instance.address); other != m_idByAddress.end() && other->second != instance.id) {
         const Instance *known = find(other->second);
         if (known != nullptr && known->listRevision > instance.listRevision) {
@@ -21,19 +27,48 @@
         }
         erase(std::string(other->second));
     }
-    m_idByAddress[instance.address] = instance.id;
-    if (const auto known = m_serviceById.find(instance.id); known != m_serviceById.end()) {
-        if (known->second == instance.service) {
-            auto &list = m_instancesByService[instance.service];
-            *std::ranges::find(list, instance.id, &Instance::id) = std::move(instance);
-            return;
-        }
-        erase(instance.id);
+    const std::string id = instance.id;
+    const std::string address = instance.address;
+    storeEntry(std::move(instance));
+    m_idByAddress[address] = id;
+}
+
+void InstanceDirectory::storeEntry(Instance instance)
+{
+    if (const Instance *known = find(instance.id); known != nullptr && known->service == instance.service) {
+        forgetAddress(*known);
+        auto &list = m_instancesByService[instance.service];
+        *std::ranges::find(list, instance.id, &Instance::id) = std::move(instance);
+        return;
     }
+    erase(std::string(instance.id));
     m_serviceById.emplace(instance.id, instance.service);
     m_instancesByService[instance.service].push_back(std::move(instance));
 }
 
+void InstanceDirectory::forgetAddress(const Instance &instance)
+{
+    const auto found = m_idByAddress.find(instance.address);
+    if (found != m_idByAddress.end() && found->second == instance.id) {
+        m_idByAddress.erase(found);
+    }
+}
+
+void InstanceDirectory::setServices(std::unordered_set<ServiceId> services)
+{
+    m_services = std::move(services);
+}
+
+bool InstanceDirectory::isKnownService(const ServiceId &service) const
+{
+    return m_services.empty() || m_services.contains(service);
+}
+
+bool InstanceDirectory::wasRemoved(const std::string &id) const
+{
+    return m_removedAt.contains(id);
+}
+
 void InstanceDirectory::remove(const std::string &id)
 {
     const Instance *known = find(id);
@@ -46,6 +81,7 @@
         return;
     }
     erase(id);
+    m_removedAt[id] = m_clock.now();
 }
 
 void InstanceDirectory::replaceAll(std::vector<Instance> instances)
@@ -77,17 +113,31 @@
     if (m_sourceIsLost) {
         m_sourceIsLost = false;
         const bool liveEntriesMayHaveExpired = m_clock.now() - m_lastReadTime >= m_options.outageBeforeExpiry;
-        m_holdUntil = liveEntriesMayHaveExpired ? m_clock.now() + m_options.removalHoldTime : m_holdUntil;
+        if (liveEntriesMayHaveExpired) {
+            holdRemovals(m_options.removalHoldTime);
+        }
     }
 }
 
+void InstanceDirectory::holdRemovals(Duration time)
+{
+    m_holdUntil = std::max(m_holdUntil, m_clock.now() + std::min(time, m_options.removalHoldTime));
+}
+
+Duration InstanceDirectory::remainingHoldTime() const
+{
+    return std::max(Duration(0), m_holdUntil - m_clock.now());
+}
+
 void InstanceDirectory::tick()
 {
+    std::erase_if(m_removedAt, [this](const auto &entry) { return m_clock.now() - entry.second >= m_options.removedIdLifetime; });
     if (m_heldRemovals.empty() || m_sourceIsLost || m_clock.now() < m_holdUntil) {
         return;
     }
     for (const std::string &id : std::exchange(m_heldRemovals, {})) {
         erase(id);
+        m_removedAt[id] = m_clock.now();
     }
 }
 
@@ -144,8 +194,10 @@
     if (known == m_serviceById.end()) {
         return;
     }
-    std::erase_if(m_idByAddress, [&id](const auto &entry) { return entry.second == id; });
-    std::erase_if(m_instancesByService[known->second], [&id](const Instance &instance) { return instance.id == id; });
+    auto &list = m_instancesByService[known->second];
+    const auto entry = std::ranges::find(list, id, &Instance::id);
+    forgetAddress(*entry);
+    list.erase(entry);
     m_heldRemovals.erase(id);
     m_serviceById.erase(known);
 }
--- a/src/core/relay/instancedirectory.h
+++ b/src/core/relay/instancedirectory.h
@@ -21,6 +21,8 @@
     // Shortest outage of the list after which removals are held back, because entries of live instances may have expired. The platform
     // removes an entry after three missed heartbeats of usually 1.5 s. The first one may be missed by chance, hence two heartbeats.
     Duration outageBeforeExpiry = std::chrono::milliseconds(3000);
+    // Time for which the id of a removed instance is remembered. It is longer than requests that were sent before the removal are under way.
+    Duration removedIdLifetime = std::chrono::seconds(60);
 };
 
 // The instances that the platform lists, grouped by service. When the list was unreadable for a while, the platform may have removed live
@@ -30,6 +32,9 @@
 public:
     InstanceDirectory(const InstanceDirectoryOptions &options, const Clock &clock);
 
+    // Sets the services that requests may go to. An instance of another service never displaces the one at the same address. While no
+    // service is set, all are known.
+    void setServices(std::unordered_set<ServiceId> services);
     // Stores an entry of the list. Of two instances at one backend server address only the one with the higher list revision is kept.
     void insertOrReplace(Instance instance);
     // Removes an entry, or holds the removal back during and shortly after an outage of the list. An unknown id is ignored.
@@ -40,6 +45,10 @@
     void onSourceLost(TimePoint lastReadTime);
     // Records that the list can be read again.
     void onSourceRestored();
+    // Holds removals back for this time, at most for the hold time of the options: another node has noticed an outage of the list.
+    void holdRemovals(Duration time);
+    // Time for which removals are still held back; zero while the list is unreadable and removals are held back for that reason.
+    Duration remainingHoldTime() const;
     // Removes the entries whose removal was held back and that were not listed again in time. Call every 100 ms.
     void tick();
 
@@ -49,6 +58,8 @@
     const Instance *find(std::string_view id) const;
     // Instance whose backend server has the given address; null if there is none. Valid until the directory changes.
     const Instance *findByAddress(std::string_view address) const;
+    // True if an instance with this id was listed and has been removed, and not been listed again since.
+    bool wasRemoved(const std::string &id) const;
     // Addresses at which the nodes of all instances accept calls of other nodes.
     std::set<std::string> peerAddresses() const;
     // Number of instances.
@@ -56,8 +67,13 @@
     std::vector<Instance> allInstances() const;
 
 private:
+    // Inserts or replaces an entry under its id, without its address.
+    void storeEntry(Instance instance);
     // Removes an entry at once.
     void erase(const std::string &id);
+    // Removes the address of an instance from the index, unless it belongs to another one by now.
+    void forgetAddress(const Instance &instance);
+    bool isKnownService(const ServiceId &service) const;
     // True while the list is unreadable and for the hold time afterwards.
     bool isHoldingRemovals() const;
 
@@ -69,6 +85,9 @@
     std::unordered_map<std::string, std::string> m_idByAddress;
     // Ids of the entries whose removal is held back.
     std::unordered_set<std::string> m_heldRemovals;
+    // Ids of removed instances, with the time of the removal.
+    std::unordered_map<std::string, TimePoint> m_removedAt;
+    std::unordered_set<ServiceId> m_services;
     bool m_sourceIsLost = false;
     TimePoint m_lastReadTime{};
     TimePoint m_holdUntil{};
--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -44,10 +44,9 @@
     double lowestCostSeconds = 0.0;
     std::uniform_real_distribution<double> noise(1.0 - m_options.waitJitterShare, 1.0 + m_options.waitJitterShare);
     for (std::vector<const Instance *> *candidates : {&ownDomainCandidates, &otherDomainCandidates}) {
-        if (candidates->size() > m_options.candidatesPerDomain) {
-            std::shuffle(candidates->begin(), candidates->end(), m_random);
-            candidates->resize(m_options.candidatesPerDomain);
-        }
+        // Also without a selection: of instances with equal costs the first one is chosen.
+        std::shuffle(candidates->begin(), candidates->end(), m_random);
+        candidates->resize(std::min(candidates->size(), m_options.candidatesPerDomain));
         for (const Instance *instance : *candidates) {
             const double instanceCostSeconds = costSeconds(*instance, route, targetLatency, lowestFailureShare, noise(m_random));
             if (best == nullptr || instanceCostSeconds < lowestCostSeconds) {
--- a/tests/relay/budgetandsplit_test.cpp
+++ b/tests/relay/budgetandsplit_test.cpp
@@ -1,3 +1,4 @@
+#include "core/base/manualclock.h"
 #include "core/relay/retrybudget.h"
 #include "core/relay/weightedsplit.h"
 
@@ -9,7 +10,8 @@
 
 TEST_GROUP(RetryBudget)
 {
-    RetryBudget budget{RetryBudgetOptions{}};
+    ManualClock clock;
+    RetryBudget budget{RetryBudgetOptions{}, clock};
     const ServiceId service{"shop"};
 
     int chargeAllRetries()
@@ -46,6 +48,67 @@
     CHECK(chargeAllRetries() <= 3);
 }
 
+// Guards against nodes that each save as much as in a small fleet: with little traffic, all of them together would exceed the slack.
+TEST(RetryBudget, ManyNodesWithLittleTrafficStayWithinTheSlackOfTheFleet)
+{
+    constexpr std::size_t Nodes = 95;
+    constexpr int SendsPerNode = 3;
+    const RetryBudgetOptions options{.fleetSlackRetries = 124};
+    double retries = 0;
+    for (std::size_t node = 0; node < Nodes; ++node) {
+        RetryBudget saved(options, clock);
+        saved.setNodeCount(Nodes);
+        for (int i = 0; i < 1000; ++i) {
+            saved.onFirstSend(service);
+        }
+        // The first sends of the time before no longer count in the window of the retries.
+        clock.advance(3 * options.window);
+        for (int i = 0; i < SendsPerNode; ++i) {
+            saved.onFirstSend(service);
+            while (saved.tryChargeRetry(service)) {
+                ++retries;
+            }
+        }
+    }
+
+    CHECK(retries <= options.fleetSlackRetries + options.fleetRatio * SendsPerNode * Nodes);
+}
+
+// Guards against a restart that fills the buckets of all nodes again within one window.
+TEST(RetryBudget, RestartedNodesStayWithinTheSlackOfTheFleet)
+{
+    constexpr std::size_t Nodes = 95;
+    const RetryBudgetOptions options{.fleetSlackRetries = 124};
+    double retries = 0;
+    for (std::size_t node = 0; node < Nodes; ++node) {
+        for (int start = 0; start < 2; ++start) {
+            RetryBudget restarted(options, clock);
+            restarted.setNodeCount(Nodes);
+            while (restarted.tryChargeRetry(service)) {
+                ++retries;
+            }
+        }
+    }
+
+    CHECK(retries <= options.fleetSlackRetries);
+}
+
+// Guards against retries that are never allowed in a large fleet although it has traffic.
+TEST(RetryBudget, ANodeOfALargeFleetRetriesReadsInProportionToItsSends)
+{
+    const RetryBudgetOptions options{.fleetSlackRetries = 124};
+    RetryBudget node(options, clock);
+    node.setNodeCount(95);
+    int reads = 0;
+    for (int i = 0; i < 100; ++i) {
+        clock.advance(std::chrono::seconds(1));
+        node.onFirstSend(service);
+        reads += i % 10 == 0 && node.tryChargeRetry(service, 2) ? 1 : 0;
+    }
+
+    CHECK(reads >= 7);
+}
+
 TEST(RetryBudget, TheReserveIsOnlyForTheMostUrgentRequests)
 {
     chargeAllRetries();
--- a/tests/relay/instancedirectory_test.cpp
+++ b/tests/relay/instancedirectory_test.cpp
@@ -107,3 +107,62 @@
     LONGS_EQUAL(1, directory.instancesOf(ServiceId("workshop")).size());
     LONGS_EQUAL(1, directory.size());
 }
+
+// Guards against an instance that is no longer found under its address after it has changed its service.
+TEST(InstanceDirectory, AnInstanceThatChangesItsServiceKeepsItsAddress)
+{
+    directory.insertOrReplace(instance("a", "shop", "1:1"));
+
+    directory.insertOrReplace(instance("a", "workshop", "1:1"));
+
+    CHECK(directory.findByAddress("1:1") != nullptr);
+}
+
+// Guards against an instance that stays known under an address that it has left.
+TEST(InstanceDirectory, AnInstanceThatMovesIsFoundUnderItsNewAddressOnly)
+{
+    directory.insertOrReplace(instance("a", "shop", "1:1"));
+
+    directory.insertOrReplace(instance("a", "shop", "2:1"));
+
+    CHECK(directory.findByAddress("1:1") == nullptr);
+    STRCMP_EQUAL("a", directory.findByAddress("2:1")->id.c_str());
+}
+
+// Guards against an entry of another writer, with a service that no route names, that takes the place of the instance at its address.
+TEST(InstanceDirectory, AnEntryOfAnUnknownServiceDisplacesNoInstance)
+{
+    directory.setServices({ServiceId("shop")});
+    directory.insertOrReplace(instance("a", "shop", "1:1", 5));
+
+    directory.insertOrReplace(instance("odd", "cellar", "1:1", 9));
+
+    LONGS_EQUAL(1, directory.instancesOf(ServiceId("shop")).size());
+    STRCMP_EQUAL("a", directory.findByAddress("1:1")->id.c_str());
+}
+
+TEST(InstanceDirectory, ARemovedInstanceIsRememberedUntilItIsListedAgain)
+{
+    directory.insertOrReplace(instance("a", "shop", "1:1"));
+    directory.remove("a");
+    CHECK(directory.wasRemoved("a"));
+    CHECK_FALSE(directory.wasRemoved("never-listed"));
+
+    directory.insertOrReplace(instance("a", "shop", "1:1", 7));
+
+    CHECK_FALSE(directory.wasRemoved("a"));
+}
+
+// Guards against removals that take effect at once on a node that has not noticed an outage of the list itself.
+TEST(InstanceDirectory, RemovalsAreHeldBackForTheOutageThatAnotherNodeReports)
+{
+    directory.insertOrReplace(instance("a", "shop", "1:1"));
+
+    directory.holdRemovals(1500ms);
+    directory.remove("a");
+
+    advance(1s);
+    LONGS_EQUAL(1, directory.size());
+    advance(1s);
+    LONGS_EQUAL(0, directory.size());
+}
--- a/tests/relay/placement_test.cpp
+++ b/tests/relay/placement_test.cpp
@@ -159,3 +159,18 @@
         CHECK(count < 200);
     }
 }
+
+// Guards against an instance that gets most calls of its failure domain because it comes first in the list, while others get none.
+TEST(Placement, InstancesWithEqualCostsGetEqualShares)
+{
+    instances = {instance("first", "north"), instance("second", "north"), instance("third", "north")};
+    std::map<std::string, int> calls;
+    for (int i = 0; i < 300; ++i) {
+        ++calls[choose()];
+    }
+
+    for (const auto &[id, count] : calls) {
+        CHECK_TEXT(count > 70, id.c_str());
+    }
+    LONGS_EQUAL(3, calls.size());
+}
