--- a/src/core/crashguard/crashguard.h
+++ b/src/core/crashguard/crashguard.h
@@ -29,9 +29,9 @@
 
 // Detects requests that crash backend servers and keeps them from crashing more. When the connections to a backend server break together,
 // the fingerprints of the calls in flight become suspects. A backend server runs at most one suspect at a time. A fingerprint is refused
-// after a second crash, except for single trials at growing intervals, and cleared by a completed call or after a time limit. One object per node, for the local backend server. The
-// objects of several nodes exchange reports, so that each also counts the crashes that the others saw; the user of the class sends them
-// and chooses the nodes that get them. Not thread safe. See docs/crash-guard.md.
+// after a second crash, except for single trials at growing intervals, and cleared by a completed call or after a time limit. One object
+// per node, for the local backend server. The objects of several nodes exchange reports, so that each also counts the crashes that the
+// others saw; the user of the class sends them and chooses the nodes that get them. Not thread safe. See docs/crash-guard.md.
 class CrashGuard
 {
 public:
--- a/src/core/crashguard/crashguardoptions.h
+++ b/src/core/crashguard/crashguardoptions.h
@@ -19,7 +19,8 @@
     Duration confirmationTime{std::chrono::seconds(1)};
     // Time after which a suspect is dropped if it neither completes nor is in flight at another crash.
     Duration suspicionLifetime{std::chrono::minutes(10)};
-    // Time for which a fingerprint is refused after its last crash if no trial clears it. It is longer than older clients keep resending a request.
+    // Time for which a fingerprint is refused after its last crash if no trial clears it. It is longer than older clients keep resending a
+    // request.
     Duration banLifetime{std::chrono::hours(1)};
     // Time after the second crash from which a banned fingerprint may be tried once on one backend server, and the factor by which it grows
     // with each further crash. A harmless request that was in flight at two crashes is thus served again.
--- a/src/core/published/publishedsync.cpp
+++ b/src/core/published/publishedsync.cpp
@@ -77,8 +77,8 @@
     const Duration waited = m_clock.now() - arrivalTime;
     const bool waitedForContact = !hasOwnContact() && waited >= m_options.firstContactTime;
     const bool sourceLost = !m_serving || (request.asReader && (isFailing() || waitedForContact));
-    const bool waitsOn = request.asReader && !sourceLost && !hasNewsFor(request)
-        && (!hasOwnContact() || (request.mayWait && waited < m_options.pollTime));
+    const bool waitsOn
+        = request.asReader && !sourceLost && !hasNewsFor(request) && (!hasOwnContact() || (request.mayWait && waited < m_options.pollTime));
     if (waitsOn) {
         return std::nullopt;
     }
@@ -305,8 +305,10 @@
     reader.pollPending = true;
     reader.pollSentAt = m_clock.now();
     reader.requestNumber = ++m_lastRequestNumber;
-    const ChangesRequest request{
-        .knownRevisions = knownRevisions(), .asReader = true, .mayWait = reader.confirmed, .revisionsOnly = revisionsOnly && reader.confirmed};
+    const ChangesRequest request{.knownRevisions = knownRevisions(),
+                                 .asReader = true,
+                                 .mayWait = reader.confirmed,
+                                 .revisionsOnly = revisionsOnly && reader.confirmed};
     m_callbacks.sendRequest(address, request, [this, address, number = reader.requestNumber](std::optional<ChangesResponse> response) {
         onPollAnswered(address, number, std::move(response));
     });
--- a/src/core/published/publishedsync.h
+++ b/src/core/published/publishedsync.h
@@ -43,7 +43,8 @@
     // Time for which a node goes on reading after its readers have come back, and after another node has last relied on it.
     Duration directReadTime = std::chrono::seconds(5);
     Duration demandLifetime = std::chrono::seconds(5);
-    // Time for a change to arrive on the usual way after another node was seen to know it. After that, the change is fetched from that node.
+    // Time for a change to arrive on the usual way after another node was seen to know it. After that, the change is fetched from that
+    // node.
     Duration catchUpDelay = std::chrono::milliseconds(200);
     // Interval at which a node without contact reads the list of candidates.
     Duration candidateReadInterval = std::chrono::milliseconds(500);
@@ -86,7 +87,8 @@
     };
 
     // `clock` and `random` must outlive the object. All callbacks must be set.
-    PublishedSync(const PublishedSyncOptions &options, std::string ownAddress, const Clock &clock, RandomEngine &random, Callbacks callbacks);
+    PublishedSync(const PublishedSyncOptions &options, std::string ownAddress, const Clock &clock, RandomEngine &random,
+                  Callbacks callbacks);
 
     // Nodes beside the listed instances of the own failure domain that are not draining, possibly with the own one.
     void setCandidates(const std::vector<ReaderCandidate> &candidates);
--- a/src/core/published/readerranking.h
+++ b/src/core/published/readerranking.h
@@ -15,8 +15,8 @@
     friend bool operator==(const ReaderCandidate &, const ReaderCandidate &) = default;
 };
 
-// Order in which the nodes of a failure domain read the source: each node computes it alone, and nodes with the same list of instances agree.
-// A node that joins or leaves changes the place of the others by at most one. Returns the addresses, each once.
+// Order in which the nodes of a failure domain read the source: each node computes it alone, and nodes with the same list of instances
+// agree. A node that joins or leaves changes the place of the others by at most one. Returns the addresses, each once.
 std::vector<std::string> rankReaders(const std::vector<ReaderCandidate> &candidates);
 
 } // namespace wisteriafork
--- a/src/core/relay/instancedirectory.h
+++ b/src/core/relay/instancedirectory.h
@@ -21,7 +21,8 @@
     // Shortest outage of the list after which removals are held back, because entries of live instances may have expired. The platform
     // removes an entry after three missed heartbeats of usually 1.5 s. The first one may be missed by chance, hence two heartbeats.
     Duration outageBeforeExpiry = std::chrono::milliseconds(3000);
-    // Time for which the id of a removed instance is remembered. It is longer than requests that were sent before the removal are under way.
+    // Time for which the id of a removed instance is remembered. It is longer than requests that were sent before the removal are under
+    // way.
     Duration removedIdLifetime = std::chrono::seconds(60);
 };
 
--- a/src/core/relay/retrybudget.h
+++ b/src/core/relay/retrybudget.h
@@ -18,8 +18,8 @@
     double earnedShare = 0.6;
     // Maximum number of unused retries of a service.
     double burstRetries = 2.0;
-    // Share of the slack that all nodes together may save without any traffic, and with which they start. Both together stay below the slack,
-    // so that nodes may restart within a window.
+    // Share of the slack that all nodes together may save without any traffic, and with which they start. Both together stay below the
+    // slack, so that nodes may restart within a window.
     double savedSlackShare = 0.7;
     double initialSlackShare = 0.25;
     // Retries that are reserved for requests of priority 0, the most urgent.
--- a/src/relay/peerhandler.cpp
+++ b/src/relay/peerhandler.cpp
@@ -19,9 +19,8 @@
         return;
     }
     if (exchange->request->target == ChangesPath && m_onChangesRequested) {
-        m_onChangesRequested(exchange->request->body, [exchange](std::string response) {
-            exchange->respond({.status = 200, .body = std::move(response)});
-        });
+        m_onChangesRequested(exchange->request->body,
+                             [exchange](std::string response) { exchange->respond({.status = 200, .body = std::move(response)}); });
         return;
     }
     if (exchange->request->target == SuspectsPath) {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -31,8 +31,8 @@
     // True while draining is set, and from the start of a shutdown.
     bool isDraining() const;
 
-    // Shuts down gracefully: accepts no new requests, finishes those in flight, then calls `onStopped` once with the number of requests that
-    // were still open at the end of the grace period. Further calls do nothing.
+    // Shuts down gracefully: accepts no new requests, finishes those in flight, then calls `onStopped` once with the number of requests
+    // that were still open at the end of the grace period. Further calls do nothing.
     void stop(std::function<void(std::size_t openRequests)> onStopped);
 
 private:
--- a/src/relay/relaynode.cpp
+++ b/src/relay/relaynode.cpp
@@ -226,8 +226,7 @@
     m_impl->requestSnapshot(peerAddress);
 }
 
-void RelayNode::requestChanges(const std::string &peerAddress, std::string request,
-                               std::function<void(std::optional<std::string>)> handler)
+void RelayNode::requestChanges(const std::string &peerAddress, std::string request, std::function<void(std::optional<std::string>)> handler)
 {
     m_impl->peerGateway.requestChanges(peerAddress, std::move(request), std::move(handler));
 }
--- a/tests/fleet/soak_test.cpp
+++ b/tests/fleet/soak_test.cpp
@@ -39,8 +39,8 @@
 
 TEST_GROUP(Soak){};
 
-// Guards against violations of the invariants under random combinations of all simulated faults. The seeds are split over several tests, which
-// run at the same time.
+// Guards against violations of the invariants under random combinations of all simulated faults. The seeds are split over several tests,
+// which run at the same time.
 TEST(Soak, InvariantsHoldUnderRandomFaultsOfTheSeedsFrom0)
 {
     STRCMP_EQUAL("", findingsOfSeeds(0).c_str());
--- a/tests/net/httpclient_test.cpp
+++ b/tests/net/httpclient_test.cpp
@@ -29,7 +29,7 @@
         return options;
     }
 
-    static std::future<tl::expected<HttpResponse, ExchangeError>> send(HttpClient &client, std::string body = {})
+    static std::future<tl::expected<HttpResponse, ExchangeError>> send(HttpClient & client, std::string body = {})
     {
         auto request = std::make_shared<HttpRequest>(HttpRequest{.method = "POST", .target = "/", .body = std::move(body)});
         request->headers.add("x-id", "1");
@@ -53,8 +53,7 @@
     RawServer server([](Tcp::socket &socket, unsigned) {
         RawServer::readHeader(socket);
         RawServer::send(socket, "HTTP/1.1 200 OK\r\nx-a: ");
-        while (RawServer::send(socket, std::string(16 * 1024, 'a'))) {
-        }
+        while (RawServer::send(socket, std::string(16 * 1024, 'a'))) { }
     });
     HttpClient client(running.context, optionsFor(server));
 
@@ -67,8 +66,7 @@
     RawServer server([](Tcp::socket &socket, unsigned) {
         RawServer::readHeader(socket);
         RawServer::send(socket, "HTTP/1.1 200 OK\r\nx-id: 1\r\nTransfer-Encoding: chunked\r\n\r\n5;a=");
-        while (RawServer::send(socket, std::string(16 * 1024, 'a'))) {
-        }
+        while (RawServer::send(socket, std::string(16 * 1024, 'a'))) { }
     });
     HttpClient client(running.context, optionsFor(server));
 
@@ -80,8 +78,7 @@
 {
     RawServer server([](Tcp::socket &socket, unsigned) {
         RawServer::readHeader(socket);
-        while (RawServer::send(socket, "HTTP/1.1 102 Processing\r\n\r\n")) {
-        }
+        while (RawServer::send(socket, "HTTP/1.1 102 Processing\r\n\r\n")) { }
     });
     HttpClient client(running.context, optionsFor(server));
 
@@ -100,8 +97,9 @@
             RawServer::send(socket, KeptResponse);
             return;
         }
-        RawServer::send(socket, connection % 2 == 0 ? "HTTP/1.1 200 OK\r\nx-id: 1\r\n\r\n"
-                                                    : "HTTP/1.1 200 OK\r\nx-id: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
+        RawServer::send(socket,
+                        connection % 2 == 0 ? "HTTP/1.1 200 OK\r\nx-id: 1\r\n\r\n"
+                                            : "HTTP/1.1 200 OK\r\nx-id: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
         const std::string piece(16 * 1024, 'b');
         while (RawServer::send(socket, connection % 2 == 0 ? piece : "4000\r\n" + piece + "\r\n")) {
             mostUsed = std::max<std::size_t>(mostUsed, budget->usedBytes());
--- a/tests/net/httpserver_test.cpp
+++ b/tests/net/httpserver_test.cpp
@@ -193,7 +193,8 @@
     limits.bufferBudget = std::make_shared<BufferBudget>(3 * BodyBytes / 2);
     HttpServer bounded(running.context, handler, limits);
     bounded.listen(Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    const std::string header = "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: " + std::to_string(BodyBytes) + "\r\n\r\n";
+    const std::string header
+        = "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: " + std::to_string(BodyBytes) + "\r\n\r\n";
     RawClient slow(bounded.address());
     slow.send(header + "a");
     while (limits.bufferBudget->usedBytes() == 0) {
--- a/tests/net/rawserver.h
+++ b/tests/net/rawserver.h
@@ -90,8 +90,7 @@
             if (m_stopping || error) {
                 return;
             }
-            m_conversations.emplace_back(
-                [this, number, accepted = std::move(socket)]() mutable { m_conversation(accepted, number); });
+            m_conversations.emplace_back([this, number, accepted = std::move(socket)]() mutable { m_conversation(accepted, number); });
         }
     }
 
--- a/tests/platform/publishedvalues_test.cpp
+++ b/tests/platform/publishedvalues_test.cpp
@@ -160,8 +160,8 @@
     }
 }
 
-// Guards against an entry of another writer that ends the process or stops the list: nested too deep, numbers that fit no type, ports that do
-// not exist, and text without end.
+// Guards against an entry of another writer that ends the process or stops the list: nested too deep, numbers that fit no type, ports that
+// do not exist, and text without end.
 TEST(PublishedValues, OddEntriesOfOtherWritersAreRejected)
 {
     const std::string valid = entry("ready", "60");
@@ -203,11 +203,13 @@
 TEST(PublishedValues, AConfigurationWithNumbersOutOfRangeIsRejected)
 {
     const std::string text = PublishedText;
-    const std::vector<std::pair<std::string, std::string>> changes{
-        {"\"MaxAttempts\":2", "\"MaxAttempts\":0"},  {"\"MaxAttempts\":2", "\"MaxAttempts\":4294967298"},
-        {"\"Priority\":2", "\"Priority\":4294967296"}, {"\"TimeoutS\":5", "\"TimeoutS\":1e300"},
-        {"\"Weight\":90", "\"Weight\":-1"},            {"\"TargetLatencyS\":1.5", "\"TargetLatencyS\":-3"},
-        {"\"Service\":\"books\"", "\"Service\":\"\""}};
+    const std::vector<std::pair<std::string, std::string>> changes{{"\"MaxAttempts\":2", "\"MaxAttempts\":0"},
+                                                                   {"\"MaxAttempts\":2", "\"MaxAttempts\":4294967298"},
+                                                                   {"\"Priority\":2", "\"Priority\":4294967296"},
+                                                                   {"\"TimeoutS\":5", "\"TimeoutS\":1e300"},
+                                                                   {"\"Weight\":90", "\"Weight\":-1"},
+                                                                   {"\"TargetLatencyS\":1.5", "\"TargetLatencyS\":-3"},
+                                                                   {"\"Service\":\"books\"", "\"Service\":\"\""}};
 
     for (const auto &[from, to] : changes) {
         std::string changed = text;
--- a/tests/published/publishedsync_test.cpp
+++ b/tests/published/publishedsync_test.cpp
@@ -21,21 +21,19 @@
 
 } // namespace
 
-TEST_GROUP(PublishedSync)
-{
-    static void checkNoneStale(SyncFleet & fleet, const std::set<unsigned> &excluded, const char *situation)
-    {
-        const std::vector<unsigned> stale = fleet.staleNodes(excluded);
-        CHECK_TEXT(stale.empty(), (std::string(situation) + ": " + describe(stale)).c_str());
-        LONGS_EQUAL_TEXT(0, fleet.regressions, situation);
-    }
+TEST_GROUP(PublishedSync){static void checkNoneStale(SyncFleet & fleet, const std::set<unsigned> &excluded,
+                                                     const char *situation){const std::vector<unsigned> stale = fleet.staleNodes(excluded);
+CHECK_TEXT(stale.empty(), (std::string(situation) + ": " + describe(stale)).c_str());
+LONGS_EQUAL_TEXT(0, fleet.regressions, situation);
+}
 
-    static void change(SyncFleet & fleet, int number)
-    {
-        fleet.source.put(FeedId::Configuration, "configuration", std::to_string(number));
-        fleet.source.put(FeedId::Instances, SyncFleet::keyOf(static_cast<unsigned>(number) % fleet.nodeCount()), "draining");
-    }
-};
+static void change(SyncFleet &fleet, int number)
+{
+    fleet.source.put(FeedId::Configuration, "configuration", std::to_string(number));
+    fleet.source.put(FeedId::Instances, SyncFleet::keyOf(static_cast<unsigned>(number) % fleet.nodeCount()), "draining");
+}
+}
+;
 
 // Guards against calls to the source that grow with the number of nodes.
 TEST(PublishedSync, TheCallsToTheSourceDoNotGrowWithTheNodes)
@@ -93,7 +91,8 @@
         SendsNothing,
         ReceivesNothing,
     };
-    for (const Loss loss : {Loss::Killed, Loss::Frozen, Loss::CutFromTheSource, Loss::RefusedByTheSource, Loss::SendsNothing, Loss::ReceivesNothing}) {
+    for (const Loss loss :
+         {Loss::Killed, Loss::Frozen, Loss::CutFromTheSource, Loss::RefusedByTheSource, Loss::SendsNothing, Loss::ReceivesNothing}) {
         for (std::uint64_t seed = 1; seed <= 3; ++seed) {
             SyncFleet fleet({.seed = seed});
             fleet.start();
@@ -193,13 +192,14 @@
     checkNoneStale(fleet, {}, "restart");
 }
 
-// Guards against violations under random combinations of faults: a change is known everywhere within its bound after the last fault, versions
-// never go back and removed keys never return.
+// Guards against violations under random combinations of faults: a change is known everywhere within its bound after the last fault,
+// versions never go back and removed keys never return.
 TEST(PublishedSync, TheFleetRecoversFromRandomFaults)
 {
     for (std::uint64_t seed = 1; seed <= 15; ++seed) {
         std::mt19937_64 random(seed);
-        SyncFleet fleet({.nodes = 60 + static_cast<unsigned>(random() % 100), .seed = seed, .messagesPerSecond = random() % 3 == 0 ? 0.0 : 5.0});
+        SyncFleet fleet(
+            {.nodes = 60 + static_cast<unsigned>(random() % 100), .seed = seed, .messagesPerSecond = random() % 3 == 0 ? 0.0 : 5.0});
         const auto draw = [&] {
             return static_cast<unsigned>(random() % fleet.nodeCount());
         };
--- a/tests/published/syncfleet.h
+++ b/tests/published/syncfleet.h
@@ -232,8 +232,10 @@
     PublishedSync::Callbacks callbacksOf(Node &node)
     {
         PublishedSync::Callbacks callbacks;
-        callbacks.sendRequest = [this, &node](const std::string &address, const ChangesRequest &request,
-                                              PublishedSync::ResponseHandler handler) { sendRequest(node, address, request, handler); };
+        callbacks.sendRequest
+            = [this, &node](const std::string &address, const ChangesRequest &request, PublishedSync::ResponseHandler handler) {
+                  sendRequest(node, address, request, handler);
+              };
         callbacks.setReading = [this, &node](bool reading) {
             const unsigned run = ++node.readingRun;
             for (std::size_t feed = 0; reading && feed < FeedCount; ++feed) {
@@ -250,7 +252,9 @@
                 });
             }
         };
-        callbacks.onChanged = [this, &node](FeedId feed, const std::vector<PublishedChange> &changes) { apply(node, feed, changes); };
+        callbacks.onChanged = [this, &node](FeedId feed, const std::vector<PublishedChange> &changes) {
+            apply(node, feed, changes);
+        };
         callbacks.onSourceLost = [](TimePoint) {
         };
         callbacks.onSourceRestored = [] {
@@ -375,8 +379,8 @@
             runIn(node, process, [this, &node, run, feed, next, readWhole] {
                 if (node.readingRun == run) {
                     node.sync->onSourceFailed(feed);
-                    next(std::min(std::chrono::milliseconds(800), std::chrono::milliseconds(100) * (1U << std::min(node.failures++, 3U))), readWhole,
-                         Duration(0));
+                    next(std::min(std::chrono::milliseconds(800), std::chrono::milliseconds(100) * (1U << std::min(node.failures++, 3U))),
+                         readWhole, Duration(0));
                 }
             });
         };
@@ -396,7 +400,8 @@
                 } else {
                     node.sync->onSourceChanges(feed, result.changes, result.revision);
                 }
-                next(result.changes.empty() || readWhole ? Duration(0) : Duration(std::chrono::milliseconds(500)), false, randomTime(3000, 4000));
+                next(result.changes.empty() || readWhole ? Duration(0) : Duration(std::chrono::milliseconds(500)), false,
+                     randomTime(3000, 4000));
             });
         };
         switch (accessOf(node)) {
@@ -414,12 +419,13 @@
             return;
         }
         const auto responded = std::make_shared<bool>(false);
-        source.watch(feed, node.sync->feed(feed).completeRevision(), wait, [this, &node, responded, succeed](const SimulatedSource::Result &result) {
-            if (accessOf(node) == SimulatedSource::State::Up) {
-                *responded = true;
-                time.after(CallTime, [succeed, result] { succeed(result); });
-            }
-        });
+        source.watch(feed, node.sync->feed(feed).completeRevision(), wait,
+                     [this, &node, responded, succeed](const SimulatedSource::Result &result) {
+                         if (accessOf(node) == SimulatedSource::State::Up) {
+                             *responded = true;
+                             time.after(CallTime, [succeed, result] { succeed(result); });
+                         }
+                     });
         time.after(wait + CallTimeout, [responded, fail] {
             if (!*responded) {
                 fail();
--- a/tests/relay/relaycall_test.cpp
+++ b/tests/relay/relaycall_test.cpp
@@ -130,7 +130,8 @@
                 return std::string(id).append(": ").append(violation);
             }
         }
-        const double allowed = RetryBudgetOptions{}.fleetRatio * RetryBudgetOptions{}.earnedShare * CallsPerSchedule + RetryBudgetOptions{}.burstRetries;
+        const double allowed
+            = RetryBudgetOptions{}.fleetRatio * RetryBudgetOptions{}.earnedShare * CallsPerSchedule + RetryBudgetOptions{}.burstRetries;
         return static_cast<double>(m_extraExecutions) > allowed
             ? "more repeats than the budget allows: " + std::to_string(m_extraExecutions)
             : "";
