--- a/tests/published/syncfleet.h
+++ b/tests/published/syncfleet.h
@@ -233,7 +233,7 @@
     {
         PublishedSync::Callbacks callbacks;
         callbacks.sendRequest
-            = [this, &node](const std::string &address, const ChangesRequest &request, PublishedSync::ResponseHandler handler) {
+            = [this, &node](const std::string &address, const ChangesRequest &request, const PublishedSync::ResponseHandler &handler) {
                   sendRequest(node, address, request, handler);
               };
         callbacks.setReading = [this, &node](bool reading) {
