--- a/tests/published/publishedfeed_test.cpp
+++ b/tests/published/publishedfeed_test.cpp
@@ -29,6 +29,16 @@
     return keys;
 }
 
+std::vector<PublishedChange> valuesOf(const std::map<std::string, PublishedChange> &items)
+{
+    std::vector<PublishedChange> values;
+    values.reserve(items.size());
+    for (const auto &[key, value] : items) {
+        values.push_back(value);
+    }
+    return values;
+}
+
 } // namespace
 
 TEST_GROUP(PublishedFeed)
@@ -129,6 +139,7 @@
         std::vector<PublishedFeed> nodes(4, PublishedFeed(4));
         std::map<std::string, PublishedChange> source;
         std::vector<PublishedChange> history;
+        history.reserve(200);
         std::uint64_t revision = 1;
         for (int step = 0; step < 200; ++step) {
             PublishedFeed &node = nodes[random() % nodes.size()];
@@ -145,11 +156,7 @@
                 break;
             }
             case 1: {
-                std::vector<PublishedChange> content;
-                for (const auto &[key, value] : source) {
-                    content.push_back(value);
-                }
-                node.replaceAll(content, revision);
+                node.replaceAll(valuesOf(source), revision);
                 break;
             }
             case 2: {
@@ -165,11 +172,7 @@
                 node.merge(nodes[random() % nodes.size()].updateSince(node.completeRevision()));
             }
         }
-        std::vector<PublishedChange> content;
-        for (const auto &[key, value] : source) {
-            content.push_back(value);
-        }
-        nodes[0].replaceAll(content, revision);
+        nodes[0].replaceAll(valuesOf(source), revision);
         for (PublishedFeed &node : nodes) {
             node.merge(nodes[0].updateSince(node.completeRevision()));
             STRCMP_EQUAL_TEXT(keysOf(nodes[0]).c_str(), keysOf(node).c_str(), ("seed " + std::to_string(seed)).c_str());
@@ -184,6 +187,7 @@
 TEST(ReaderRanking, ANodeThatLeavesKeepsTheOrderOfTheOthers)
 {
     std::vector<ReaderCandidate> candidates;
+    candidates.reserve(20);
     for (int number = 0; number < 20; ++number) {
         candidates.push_back({.id = "i-" + std::to_string(number), .peerAddress = "10.0.0." + std::to_string(number) + ":1"});
     }
