--- a/tests/net/httpclient_test.cpp
+++ b/tests/net/httpclient_test.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr const char *KeptResponse = "HTTP/1.1 200 OK\r\nx-id: 1\r\nContent-Length: 2\r\n\r\nok";
+// Bytes that a server without end sends at a time; 4000 as the hexadecimal size of a chunk.
+constexpr std::size_t PieceBytes = std::size_t{16} * 1024;
 // Bounds the duration of failing tests only.
 constexpr auto LongWait = 20s;
 
@@ -53,7 +55,7 @@
     RawServer server([](Tcp::socket &socket, unsigned) {
         RawServer::readHeader(socket);
         RawServer::send(socket, "HTTP/1.1 200 OK\r\nx-a: ");
-        while (RawServer::send(socket, std::string(16 * 1024, 'a'))) { }
+        while (RawServer::send(socket, std::string(PieceBytes, 'a'))) { }
     });
     HttpClient client(running.context, optionsFor(server));
 
@@ -66,7 +68,7 @@
     RawServer server([](Tcp::socket &socket, unsigned) {
         RawServer::readHeader(socket);
         RawServer::send(socket, "HTTP/1.1 200 OK\r\nx-id: 1\r\nTransfer-Encoding: chunked\r\n\r\n5;a=");
-        while (RawServer::send(socket, std::string(16 * 1024, 'a'))) { }
+        while (RawServer::send(socket, std::string(PieceBytes, 'a'))) { }
     });
     HttpClient client(running.context, optionsFor(server));
 
@@ -100,7 +102,7 @@
         RawServer::send(socket,
                         connection % 2 == 0 ? "HTTP/1.1 200 OK\r\nx-id: 1\r\n\r\n"
                                             : "HTTP/1.1 200 OK\r\nx-id: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
-        const std::string piece(16 * 1024, 'b');
+        const std::string piece(PieceBytes, 'b');
         while (RawServer::send(socket, connection % 2 == 0 ? piece : "4000\r\n" + piece + "\r\n")) {
             mostUsed = std::max<std::size_t>(mostUsed, budget->usedBytes());
         }
