Log when a node that reads the store gains or loses its contact

A node that keeps an old configuration after its readers were lost left no trace between the loss and its own first read of the store: the time to notice the silence, the time to ask other readers and the wait before reading the store itself looked the same. source-reader-changed (1013) gives each change of a reader with the state that it showed, one line for each change.

--- a/src/core/published/publishedsync.cpp
+++ b/src/core/published/publishedsync.cpp
@@ -282,7 +282,7 @@
     }
     for (auto &[address, reader] : m_readers) {
         if (reader.pollPending && now - reader.pollSentAt >= m_options.pollTimeout) {
-            pauseReader(reader);
+            pauseReader(address, reader, ReaderState::Silent);
         }
         if (!reader.pollPending && std::ranges::find(chosen, address) == chosen.end()) {
             reader.confirmed = false;
@@ -323,14 +323,16 @@
     Reader &reader = found->second;
     reader.pollPending = false;
     if (!response || response->sourceLost) {
-        pauseReader(reader);
+        pauseReader(address, reader, response ? ReaderState::SourceLost : ReaderState::Silent);
         if (response) {
             applyResponse(std::move(*response));
         }
         updateCoverage();
         return;
     }
-    reader.confirmed = true;
+    if (!std::exchange(reader.confirmed, true)) {
+        m_callbacks.onReaderChanged(address, ReaderState::HasContact);
+    }
     reader.pause = Duration(0);
     updateCoverage();
     if (response->feeds.empty()) {
@@ -341,10 +343,12 @@
     pollReaders();
 }
 
-void PublishedSync::pauseReader(Reader &reader)
+void PublishedSync::pauseReader(const std::string &address, Reader &reader, ReaderState state)
 {
     reader.pollPending = false;
-    reader.confirmed = false;
+    if (std::exchange(reader.confirmed, false)) {
+        m_callbacks.onReaderChanged(address, state);
+    }
     reader.pause = std::clamp(2 * reader.pause, m_options.minReaderPause, m_options.maxReaderPause);
     reader.pausedUntil = m_clock.now() + reader.pause;
 }
--- a/src/core/published/publishedsync.h
+++ b/src/core/published/publishedsync.h
@@ -22,6 +22,15 @@
 };
 constexpr std::size_t FeedCount = 2;
 
+// What a node knows of a reader that it asks.
+enum class ReaderState : std::uint8_t {
+    HasContact,
+    // The reader said that it cannot read the source, or does not read it any more.
+    SourceLost,
+    // The reader did not answer.
+    Silent,
+};
+
 struct PublishedSyncOptions
 {
     // Nodes of each failure domain that read the source for the others, and further ones that are asked when these fail. Two readers, so
@@ -73,6 +82,8 @@
         // Starts or stops to follow the source; changes arrive through `onSourceRead` and `onSourceChanges`. A start continues from the
         // complete revisions.
         std::function<void(bool reading)> setReading;
+        // A reader that this node asks has shown contact to the source, or has stopped to show it.
+        std::function<void(const std::string &address, ReaderState state)> onReaderChanged;
         // Reads the list of candidates once, even if it is a little old; `setCandidates` follows.
         std::function<void()> readCandidates;
         // Changes that were not known before.
@@ -173,7 +184,8 @@
     void pollReaders();
     void sendPoll(const std::string &address, bool revisionsOnly);
     void onPollAnswered(const std::string &address, std::uint64_t requestNumber, std::optional<ChangesResponse> response);
-    void pauseReader(Reader &reader);
+    // Does not ask the reader for some time, because of the given state.
+    void pauseReader(const std::string &address, Reader &reader, ReaderState state);
     void catchUp();
     void applyResponse(ChangesResponse response);
     void reportChanges(FeedId feed, const std::vector<PublishedChange> &changes);
--- a/src/observability/eventcatalogue.cpp
+++ b/src/observability/eventcatalogue.cpp
@@ -40,6 +40,7 @@
 constexpr FieldNames<2> PublishedValueRejectedFields{"key", "error"};
 constexpr FieldNames<2> PeerStateReadFields{"address", "items"};
 constexpr FieldNames<1> SourceReadingFields{"state"};
+constexpr FieldNames<2> SourceReaderChangedFields{"address", "state"};
 constexpr FieldNames<6> ServingLoadFields{"limit", "running", "queued", "waitMs", "pressure", "openCalls"};
 
 constexpr std::array Catalogue{
@@ -74,6 +75,7 @@
     EventDescription{Number::ServingLoad, "serving-load", Severity::Info, ServingLoadFields},
     EventDescription{Number::PeerStateRead, "peer-state-read", Severity::Info, PeerStateReadFields},
     EventDescription{Number::SourceReading, "source-reading", Severity::Info, SourceReadingFields},
+    EventDescription{Number::SourceReaderChanged, "source-reader-changed", Severity::Info, SourceReaderChangedFields},
 };
 
 } // namespace
--- a/src/observability/eventnumber.h
+++ b/src/observability/eventnumber.h
@@ -43,6 +43,7 @@
     ServingLoad = 1010,
     PeerStateRead = 1011,
     SourceReading = 1012,
+    SourceReaderChanged = 1013,
 };
 
 } // namespace wisteriafork
--- a/tests/published/syncfleet.h
+++ b/tests/published/syncfleet.h
@@ -244,6 +244,8 @@
                 follow(node, run, id, node.sync->feed(id).completeRevision() == 0, Duration(0));
             }
         };
+        callbacks.onReaderChanged = [](const std::string &, ReaderState) {
+        };
         callbacks.readCandidates = [this, &node] {
             ++candidateReads;
             if (accessOf(node) == SimulatedSource::State::Up) {
