Bound the time without a reader for every node, whatever is lost

Cause: a node without contact waited 1.5 s, and 0.5 s more for each place in the ranking, before it read the store itself: 3 s on the last of four hosts. Ruled out: noticing the silence late, and asking silent spares in turn.

Change: a node without contact considers 4, 8 and 16 places of the ranking in steps of 0.1 s, the nodes at these places read the store at once, and after 0.4 s every node does. The wait grows with the place only after readers have answered that they lost the store. After a start it is 1.5 s for every place. A reader with contact is kept until better ones have it, so that a failed reader that is tried again leaves no gap. The ranking no longer compares all pairs. The simulated sessions now notice silence after 0.9 s instead of 0.6 s, which is what three ping intervals allow.

The test for 2 to 300 nodes failed before at the first size with a place above the first two ("3 nodes, 1 left: 1 nodes: 2" stale after 2 s).

--- a/src/core/published/publishedsync.cpp
+++ b/src/core/published/publishedsync.cpp
@@ -24,6 +24,8 @@
         m_lastCovered = m_clock.now();
     }
     m_ranking = rankReaders(candidates);
+    const auto own = std::ranges::find(m_ranking, m_ownAddress);
+    m_listedPlace = own != m_ranking.end() ? std::optional<std::size_t>(own - m_ranking.begin()) : std::nullopt;
 }
 
 void PublishedSync::onSourceContact(FeedId feed)
@@ -221,10 +223,15 @@
     return std::ranges::any_of(m_readers, [](const auto &entry) { return entry.second.confirmed; });
 }
 
+bool PublishedSync::isCovered() const
+{
+    return hasOwnContact() || isCoveredByReader();
+}
+
 void PublishedSync::updateCoverage()
 {
     const bool coveredByReader = isCoveredByReader();
-    if (hasOwnContact() || coveredByReader) {
+    if (isCovered()) {
         m_lastCovered = m_clock.now();
         // A reader says at once when it loses the source; the node itself notices it only when a call ends.
         m_lastContact = coveredByReader ? m_lastCovered : std::ranges::min(m_source, {}, &SourceState::lastContact).lastContact;
@@ -237,17 +244,55 @@
     }
 }
 
+bool PublishedSync::suspectsOutage() const
+{
+    return m_lastLossReport > m_lastCovered;
+}
+
+std::size_t PublishedSync::consideredPlaces() const
+{
+    const bool outage = suspectsOutage();
+    const Duration interval = outage ? m_options.wideningIntervalInOutage
+        : m_hadContact               ? m_options.wideningInterval
+                                     : m_options.uncoveredTimeAtStart / 4;
+    const std::size_t most = outage ? m_options.maxConsideredInOutage : m_options.maxConsidered;
+    std::size_t places = m_options.readersPerDomain + m_options.spareReadersPerDomain;
+    for (Duration passed = isCovered() ? Duration(0) : m_clock.now() - m_lastCovered; passed >= interval && places < most;
+         passed -= interval) {
+        places *= 2;
+    }
+    return std::min(places, most);
+}
+
+Duration PublishedSync::patience() const
+{
+    if (m_ranking.empty()) {
+        return m_options.uncoveredTimeWithoutCandidates + m_options.uncoveredTimePerPlace * static_cast<int>(m_randomPlace);
+    }
+    if (suspectsOutage()) {
+        return m_options.uncoveredTimeInOutage + m_options.uncoveredTimePerPlace * static_cast<int>(ownPlace());
+    }
+    return m_hadContact ? m_options.uncoveredTime : m_options.uncoveredTimeAtStart;
+}
+
+void PublishedSync::readDirectlyIfUncovered()
+{
+    const TimePoint now = m_clock.now();
+    const bool isConsidered = m_hadContact && m_listedPlace && *m_listedPlace < consideredPlaces();
+    if (!isCovered() && (isConsidered || now - m_lastCovered >= patience())) {
+        m_directUntil = now + m_options.directReadTime;
+    }
+}
+
 std::size_t PublishedSync::ownPlace() const
 {
-    const auto found = std::ranges::find(m_ranking, m_ownAddress);
-    return found != m_ranking.end() ? static_cast<std::size_t>(found - m_ranking.begin()) : m_randomPlace;
+    return m_listedPlace.value_or(m_randomPlace);
 }
 
 bool PublishedSync::readsForOthers() const
 {
-    const bool isListed = std::ranges::find(m_ranking, m_ownAddress) != m_ranking.end();
     const bool isDemanded = m_lastDemand && m_clock.now() - *m_lastDemand < m_options.demandLifetime;
-    return m_serving && ((isListed && ownPlace() < m_options.readersPerDomain) || isDemanded);
+    return m_serving && ((m_listedPlace && *m_listedPlace < m_options.readersPerDomain) || isDemanded);
 }
 
 void PublishedSync::updateReading()
@@ -263,23 +308,45 @@
     updateCoverage();
 }
 
-void PublishedSync::pollReaders()
+std::vector<std::string> PublishedSync::chooseReaders()
 {
-    const TimePoint now = m_clock.now();
     std::vector<std::string> chosen;
-    std::size_t considered = 0;
+    if (hasOwnContact() && readsForOthers()) {
+        return chosen;
+    }
+    const TimePoint now = m_clock.now();
+    const std::size_t considered = consideredPlaces();
+    const auto knownConfirmed
+        = static_cast<std::size_t>(std::ranges::count_if(m_readers, [](const auto &entry) { return entry.second.confirmed; }));
+    std::size_t confirmed = 0;
+    std::size_t unconfirmed = 0;
+    std::size_t place = 0;
     for (const std::string &address : m_ranking) {
-        if ((hasOwnContact() && readsForOthers()) || chosen.size() == m_options.readersPerDomain
-            || considered == m_options.readersPerDomain + m_options.spareReadersPerDomain) {
+        if (confirmed == m_options.readersPerDomain || (place >= considered && confirmed == knownConfirmed)) {
             break;
         }
-        if (address != m_ownAddress) {
-            ++considered;
-            if (now >= m_readers[address].pausedUntil) {
-                chosen.push_back(address);
-            }
+        if (address == m_ownAddress) {
+            continue;
         }
+        const auto known = m_readers.find(address);
+        if (known != m_readers.end() && known->second.confirmed) {
+            // Kept until better ones have shown contact, so that a failed reader that is tried again leaves no gap.
+            chosen.push_back(address);
+            ++confirmed;
+        } else if (place < considered && confirmed + unconfirmed < considered / 2
+                   && (known == m_readers.end() || now >= known->second.pausedUntil)) {
+            chosen.push_back(address);
+            ++unconfirmed;
+        }
+        ++place;
     }
+    return chosen;
+}
+
+void PublishedSync::pollReaders()
+{
+    const TimePoint now = m_clock.now();
+    const std::vector<std::string> chosen = chooseReaders();
     for (auto &[address, reader] : m_readers) {
         if (reader.pollPending && now - reader.pollSentAt >= m_options.pollTimeout) {
             pauseReader(address, reader, ReaderState::Silent);
@@ -288,11 +355,14 @@
             reader.confirmed = false;
         }
     }
-    for (std::size_t index = 0; index < chosen.size(); ++index) {
-        const Reader &reader = m_readers[chosen[index]];
+    bool getsChanges = false;
+    for (const std::string &address : chosen) {
+        const Reader &reader = m_readers[address];
+        const bool confirmed = reader.confirmed;
         if (!reader.pollPending && now >= reader.pausedUntil) {
-            sendPoll(chosen[index], index > 0);
+            sendPoll(address, getsChanges);
         }
+        getsChanges = getsChanges || confirmed;
     }
     std::erase_if(m_readers, [&](const auto &entry) {
         return !entry.second.pollPending && std::ranges::find(m_ranking, entry.first) == m_ranking.end();
@@ -323,6 +393,7 @@
     Reader &reader = found->second;
     reader.pollPending = false;
     if (!response || response->sourceLost) {
+        m_lastLossReport = response ? m_clock.now() : m_lastLossReport;
         pauseReader(address, reader, response ? ReaderState::SourceLost : ReaderState::Silent);
         if (response) {
             applyResponse(std::move(*response));
@@ -358,12 +429,7 @@
     const TimePoint now = m_clock.now();
     pollReaders();
     updateCoverage();
-    const Duration patience = m_ranking.empty()
-        ? m_options.uncoveredTimeWithoutCandidates + m_options.uncoveredTimePerPlace * static_cast<int>(m_randomPlace)
-        : m_options.uncoveredTime + m_options.uncoveredTimePerPlace * static_cast<int>(ownPlace());
-    if (now - m_lastCovered >= patience) {
-        m_directUntil = now + m_options.directReadTime;
-    }
+    readDirectlyIfUncovered();
     updateReading();
     if (m_ranking.empty() && !m_hadContact && now >= m_nextCandidateRead) {
         const auto interval = m_options.candidateReadInterval;
--- a/src/core/published/publishedsync.h
+++ b/src/core/published/publishedsync.h
@@ -37,16 +37,27 @@
     // that the loss of one delays nothing.
     std::size_t readersPerDomain = 2;
     std::size_t spareReadersPerDomain = 2;
+    // Readers and spare readers that a node without contact considers at most: twice as many after each interval, so that the readers grow
+    // with the nodes that are lost and not with all nodes. Fewer if readers answer that they lost the source: probably all nodes have.
+    std::size_t maxConsidered = 16;
+    std::size_t maxConsideredInOutage = 8;
+    Duration wideningInterval = std::chrono::milliseconds(100);
+    Duration wideningIntervalInOutage = std::chrono::milliseconds(500);
     // Time for which a reader may wait for a change before it responds, and time after which a response is no longer expected.
     Duration pollTime = std::chrono::seconds(4);
     Duration pollTimeout = std::chrono::milliseconds(4600);
     // Bounds of the time for which a reader is not asked after it failed or lost the source. It doubles with each failure.
     Duration minReaderPause = std::chrono::milliseconds(500);
     Duration maxReaderPause = std::chrono::seconds(4);
-    // Time without contact to the source, its own or that of a reader, after which a node reads the source itself, and the additional time
-    // for each place in the ranking, so that not all nodes of a failure domain do so at once.
-    Duration uncoveredTime = std::chrono::milliseconds(1500);
+    // Time without contact to the source, its own or that of a reader, after which a node reads the source itself, whatever its place in
+    // the ranking. A silent reader is noticed after up to 0.9 s; together it stays below the 2 s within which a change has to be known.
+    Duration uncoveredTime = std::chrono::milliseconds(400);
+    // The same if readers answered that they lost the source, and the additional time for each place in the ranking, so that not all nodes
+    // call a source that is out of service.
+    Duration uncoveredTimeInOutage = std::chrono::milliseconds(1500);
     Duration uncoveredTimePerPlace = std::chrono::milliseconds(500);
+    // The same for a node that has had no contact since its start.
+    Duration uncoveredTimeAtStart = std::chrono::milliseconds(1500);
     // The same for a node that knows no candidate: the instances are listed some time after a start of the whole fleet.
     Duration uncoveredTimeWithoutCandidates = std::chrono::seconds(4);
     // Time for which a node goes on reading after its readers have come back, and after another node has last relied on it.
@@ -171,8 +182,20 @@
     bool isFailing() const;
     // True if one of the readers that this node asks has contact to the source.
     bool isCoveredByReader() const;
-    // Finds out whether this node or one of the readers that it asks has contact to the source.
+    // True if this node or one of the readers that it asks has contact to the source.
+    bool isCovered() const;
     void updateCoverage();
+    // True if a reader has answered that it lost the source since this node was last covered.
+    bool suspectsOutage() const;
+    // Number of the first nodes in the ranking that this node considers as readers now.
+    std::size_t consideredPlaces() const;
+    // Time without contact after which this node reads the source itself.
+    Duration patience() const;
+    // Lets this node read the source itself if it has waited long enough, or if it is one of the nodes that others without contact
+    // consider.
+    void readDirectlyIfUncovered();
+    // Addresses of the readers to ask now, by their places in the ranking.
+    std::vector<std::string> chooseReaders();
     // True if another node was seen to know a change that this one lacks.
     bool isBehind() const;
     // Place of the own node in the ranking; a random one if it is not listed.
@@ -205,6 +228,8 @@
     std::array<SourceState, FeedCount> m_source;
     // Addresses in the order in which the nodes read the source.
     std::vector<std::string> m_ranking;
+    // Place of the own node; empty if it is not listed.
+    std::optional<std::size_t> m_listedPlace;
     std::map<std::string, Reader> m_readers;
     std::list<WaitingRequest> m_waiting;
     std::size_t m_randomPlace = 0;
@@ -215,6 +240,8 @@
     bool m_hadContact = false;
     TimePoint m_lastContact{};
     TimePoint m_lastCovered{};
+    // Time at which a reader last answered that it lost the source.
+    TimePoint m_lastLossReport{};
     TimePoint m_directUntil{};
     std::optional<TimePoint> m_lastDemand;
     TimePoint m_nextCandidateRead{};
--- a/src/core/published/readerranking.cpp
+++ b/src/core/published/readerranking.cpp
@@ -2,8 +2,9 @@
 
 #include "core/base/hashing.h"
 
-#include <algorithm>
 #include <map>
+#include <string_view>
+#include <unordered_set>
 
 namespace wisteriafork {
 
@@ -14,8 +15,9 @@
         byRank.emplace(hash64(candidate.id), candidate.peerAddress);
     }
     std::vector<std::string> ranked;
+    std::unordered_set<std::string_view> added;
     for (const auto &[rank, address] : byRank) {
-        if (std::ranges::find(ranked, address) == ranked.end()) {
+        if (added.insert(address).second) {
             ranked.push_back(address);
         }
     }
--- a/tests/published/publishedsync_test.cpp
+++ b/tests/published/publishedsync_test.cpp
@@ -27,6 +27,42 @@
 LONGS_EQUAL_TEXT(0, fleet.regressions, situation);
 }
 
+// One failure domain without traffic, in which all nodes but the survivors lose power; the readers are among the lost ones. The survivors
+// with the lowest and the highest places in the ranking take turns.
+static void playLossOfNodes(unsigned nodes, unsigned survivors)
+{
+    for (const bool lowestPlaces : {true, false}) {
+        SyncFleet fleet({.nodes = nodes, .domains = 1, .messagesPerSecond = 0.0, .listedAtStart = nodes > 300});
+        fleet.start();
+        fleet.time.runFor(10s);
+        std::vector<unsigned> ranking = fleet.ranking();
+        const std::vector<unsigned> readers = fleet.readers();
+        const std::set<unsigned> reading(readers.begin(), readers.end());
+        if (!lowestPlaces) {
+            std::ranges::reverse(ranking);
+        }
+        std::set<unsigned> lost = reading;
+        std::set<unsigned> alive;
+        for (const unsigned node : ranking) {
+            if (alive.size() < survivors && !reading.contains(node)) {
+                alive.insert(node);
+            } else {
+                lost.insert(node);
+            }
+        }
+        for (const unsigned node : lost) {
+            fleet.freezeNode(node, 20s);
+        }
+        fleet.mostCallsPerSecond = 0;
+        fleet.time.runFor(10ms);
+        for (int number = 0; number < 4 && !alive.empty(); ++number) {
+            fleet.source.put(FeedId::Configuration, "configuration", std::to_string(number + 2));
+            fleet.time.runFor(ChangeBound);
+            checkNoneStale(fleet, lost, (std::to_string(nodes) + " nodes, " + std::to_string(alive.size()) + " left").c_str());
+        }
+    }
+}
+
 static void change(SyncFleet &fleet, int number)
 {
     fleet.source.put(FeedId::Configuration, "configuration", std::to_string(number));
@@ -136,6 +172,26 @@
     }
 }
 
+// Guards against a node that keeps an old configuration because it waits for readers that have lost power together with most other nodes
+// of its failure domain. The bound must hold for every node that still runs, whatever its place in the ranking and however many are lost.
+TEST(PublishedSync, TheLossOfMostNodesDelaysNoChangeOnTheOthers)
+{
+    for (const unsigned nodes : {2U, 3U, 4U, 5U, 8U, 17U, 40U, 300U}) {
+        for (const unsigned survivors : {1U, 2U, nodes * 2 / 5}) {
+            if (survivors > 0 && survivors < nodes) {
+                playLossOfNodes(nodes, survivors);
+            }
+        }
+    }
+}
+
+// The same in a failure domain of the largest size that is required: 28,000 nodes in 20 domains.
+TEST(PublishedSync, TheLossOfMostNodesOfALargeDomainDelaysNoChange)
+{
+    playLossOfNodes(1400, 1);
+    playLossOfNodes(1400, 560);
+}
+
 // Guards against an outage of the source after which nodes stay behind, and in which all nodes call it.
 TEST(PublishedSync, AnOutageOfTheSourceIsFollowedByFreshStateAndFewCalls)
 {
--- a/tests/published/syncfleet.h
+++ b/tests/published/syncfleet.h
@@ -21,6 +21,8 @@
         PublishedSyncOptions sync;
         // Messages between random nodes that carry revisions, for each node and second. 0: the fleet has no traffic.
         double messagesPerSecond = 10.0;
+        // The instances are listed before the nodes start, which saves time with many nodes.
+        bool listedAtStart = false;
     };
 
     explicit SyncFleet(const Options &options) : m_options(options), m_random(options.seed)
@@ -47,7 +49,8 @@
         source.put(FeedId::Configuration, "configuration", "1");
         for (const auto &node : m_nodes) {
             time.after(randomTime(0, 300), [this, &entry = *node] { startNode(entry.number); });
-            time.after(randomTime(300, 1200), [this, &entry = *node] { source.put(FeedId::Instances, keyOf(entry.number), "ready"); });
+            time.after(m_options.listedAtStart ? Duration(0) : randomTime(300, 1200),
+                       [this, &entry = *node] { source.put(FeedId::Instances, keyOf(entry.number), "ready"); });
         }
     }
 
@@ -125,6 +128,16 @@
         return stale;
     }
 
+    // All nodes with listed instances, in the order in which they read the source.
+    std::vector<unsigned> ranking() const
+    {
+        std::vector<unsigned> nodes;
+        for (const std::string &address : rankReaders(candidatesIn(source.content(FeedId::Instances), std::nullopt))) {
+            nodes.push_back(numberOf(address));
+        }
+        return nodes;
+    }
+
     unsigned nodeCount() const
     {
         return m_options.nodes;
@@ -148,8 +161,8 @@
     static constexpr auto CallTime = std::chrono::milliseconds(5);
     static constexpr auto MessageTime = std::chrono::milliseconds(2);
     static constexpr auto CallTimeout = std::chrono::milliseconds(800);
-    // Time after which a sender notices that its peer is silent.
-    static constexpr auto SilenceTimeout = std::chrono::milliseconds(600);
+    // Greatest time after which a sender notices that its peer is silent: three ping intervals of a session.
+    static constexpr auto SilenceTimeout = std::chrono::milliseconds(900);
 
     struct Node
     {
@@ -269,16 +282,29 @@
         return callbacks;
     }
 
-    void setCandidates(Node &node, const std::map<std::string, PublishedChange> &instances)
+    // Number of a node from its address or the key of its instance.
+    static unsigned numberOf(const std::string &name)
+    {
+        return static_cast<unsigned>(std::stoul(name.substr(name.find('-') + 1)));
+    }
+
+    // Nodes beside the instances of the failure domain, or of all.
+    std::vector<ReaderCandidate> candidatesIn(const std::map<std::string, PublishedChange> &instances,
+                                              const std::optional<std::string> &domain) const
     {
         std::vector<ReaderCandidate> candidates;
         for (const auto &[key, item] : instances) {
-            const auto number = static_cast<unsigned>(std::stoul(key.substr(key.find('-') + 1)));
-            if (domainOf(number) == domainOf(node.number)) {
+            const unsigned number = numberOf(key);
+            if (!domain || domainOf(number) == *domain) {
                 candidates.push_back({.id = key, .peerAddress = addressOf(number)});
             }
         }
-        node.sync->setCandidates(candidates);
+        return candidates;
+    }
+
+    void setCandidates(Node &node, const std::map<std::string, PublishedChange> &instances)
+    {
+        node.sync->setCandidates(candidatesIn(instances, domainOf(node.number)));
     }
 
     void apply(Node &node, FeedId feed, const std::vector<PublishedChange> &changes)
@@ -304,7 +330,7 @@
 
     void sendRequest(Node &from, const std::string &address, const ChangesRequest &request, const PublishedSync::ResponseHandler &handler)
     {
-        Node &to = *m_nodes[std::stoul(address.substr(address.find('-') + 1))];
+        Node &to = *m_nodes[numberOf(address)];
         const auto answered = std::make_shared<bool>(false);
         const auto deliver = [this, &from, answered, handler, process = from.process](std::optional<ChangesResponse> response) {
             if (!std::exchange(*answered, true)) {
