End requests that the backend server has not answered by their deadline

Cause: a running non-idempotent request that its sender has cancelled is kept, so that the backend server can finish it. It kept its slot until the answer, which never comes on a silent connection. serving-load shows 7 of 7 slots running in each second after the silence. Ruled out: the crash guard (no request-blocked) and the pool (running does not fall at the time-outs).

Change: half a second after its deadline a running request is aborted, whether its sender still waits or not: its connection is closed and its slot and its entries in the crash guard and the table of running requests are given back. Its outcome is unknown, never a refusal. server-call-overdue (1014) and the counter "overdue" show it. A backend server that never answers what it cannot queue, and a stop that waits for such requests, are the same path.

--- a/src/observability/eventcatalogue.cpp
+++ b/src/observability/eventcatalogue.cpp
@@ -41,6 +41,7 @@
 constexpr FieldNames<2> PeerStateReadFields{"address", "items"};
 constexpr FieldNames<1> SourceReadingFields{"state"};
 constexpr FieldNames<2> SourceReaderChangedFields{"address", "state"};
+constexpr FieldNames<4> ServerCallOverdueFields{"request", "route", "instance", "milliseconds"};
 constexpr FieldNames<6> ServingLoadFields{"limit", "running", "queued", "waitMs", "pressure", "openCalls"};
 
 constexpr std::array Catalogue{
@@ -76,6 +77,7 @@
     EventDescription{Number::PeerStateRead, "peer-state-read", Severity::Info, PeerStateReadFields},
     EventDescription{Number::SourceReading, "source-reading", Severity::Info, SourceReadingFields},
     EventDescription{Number::SourceReaderChanged, "source-reader-changed", Severity::Info, SourceReaderChangedFields},
+    EventDescription{Number::ServerCallOverdue, "server-call-overdue", Severity::Warning, ServerCallOverdueFields},
 };
 
 } // namespace
--- a/src/observability/eventnumber.h
+++ b/src/observability/eventnumber.h
@@ -44,6 +44,7 @@
     PeerStateRead = 1011,
     SourceReading = 1012,
     SourceReaderChanged = 1013,
+    ServerCallOverdue = 1014,
 };
 
 } // namespace wisteriafork
--- a/src/relay/relaymetrics.h
+++ b/src/relay/relaymetrics.h
@@ -27,6 +27,7 @@
     Hedges,
     ServedForPeers,
     RefusedForPeers,
+    Overdue,
     Count,
 };
 
--- a/src/relay/servinggateway.cpp
+++ b/src/relay/servinggateway.cpp
@@ -13,6 +13,9 @@
 // Time for which requests for an instance are refused without asking after the backend server responded that it is another one. It is
 // limited because an instance may start again under its old name.
 constexpr Duration MisdirectedExpiry = std::chrono::milliseconds(1000);
+// Time after its deadline for which a running request keeps its slot. The backend server stops work at the deadline; a response after this
+// time is not expected, because the connection has gone silent or the backend server has dropped the request.
+constexpr Duration OverdueTime = std::chrono::milliseconds(500);
 
 ServingRequest servingRequest(CallId id, const RelayRequest &request)
 {
@@ -70,10 +73,7 @@
         return;
     }
     if (call.running) {
-        call.exchange->cancel();
-        m_parts.crashGuard.onAbandoned(id);
-        m_parts.queue.finish(id, false);
-        m_parts.runningRequests.onRequestEnded(requestId(call.request));
+        abortRunningCall(id, call);
     } else {
         m_parts.queue.withdraw(id);
     }
@@ -96,6 +96,7 @@
 {
     m_parts.queue.tick();
     refuseCallsToLeavingInstances();
+    abortOverdueCalls();
     pollQueue();
 }
 
@@ -118,6 +119,36 @@
     }
 }
 
+void ServingGateway::abortOverdueCalls()
+{
+    const TimePoint now = m_parts.clock.now();
+    std::vector<CallId> overdue;
+    for (const auto &[id, call] : m_calls) {
+        if (call.running && now - call.request.deadline >= OverdueTime) {
+            overdue.push_back(id);
+        }
+    }
+    for (const CallId id : overdue) {
+        const Call &call = m_calls.at(id);
+        m_parts.metrics.count(RelayCounter::Overdue);
+        m_parts.log.writeDecision(EventNumber::ServerCallOverdue, false, [&] {
+            const auto elapsedTime = std::chrono::duration_cast<std::chrono::milliseconds>(now - call.startTime);
+            return std::vector<std::string>{requestId(call.request), call.request.route, call.request.instance,
+                                            std::to_string(elapsedTime.count())};
+        });
+        abortRunningCall(id, call);
+        finishCall(id, {.result = OutcomeUnknown{}});
+    }
+}
+
+void ServingGateway::abortRunningCall(CallId id, const Call &call)
+{
+    call.exchange->cancel();
+    m_parts.crashGuard.onAbandoned(id);
+    m_parts.queue.finish(id, false);
+    m_parts.runningRequests.onRequestEnded(requestId(call.request));
+}
+
 void ServingGateway::startCall(CallId id)
 {
     Call &call = m_calls.at(id);
--- a/src/relay/servinggateway.h
+++ b/src/relay/servinggateway.h
@@ -21,11 +21,12 @@
     // cancelled. Returns the id for `cancel`.
     CallId serve(RelayRequest request, AttemptHandler handler);
     // Cancels a request; its handler is not called afterwards. A queued request never starts. A running one is aborted if it is idempotent;
-    // otherwise it completes and its response is discarded.
+    // otherwise it completes, or ends shortly after its deadline, and its response is discarded.
     void cancel(CallId id);
     // Starts or refuses queued requests as the queue decides. Call every 20 ms.
     void pollQueue();
-    // Updates the pressure, and refuses queued requests for instances that are draining. Call every 100 ms.
+    // Updates the pressure, refuses queued requests for instances that are draining, and ends running ones that are overdue. Call every
+    // 100 ms.
     void tick();
 
     bool isIdle() const
@@ -51,6 +52,10 @@
     // True if the instance is draining or no longer listed: requests that it has not started are sent to other instances.
     bool isLeaving(const std::string &instance) const;
     void refuseCallsToLeavingInstances();
+    // Aborts running requests that the backend server should have answered by their deadline.
+    void abortOverdueCalls();
+    // Closes the connection of a running request and gives back what it holds, without calling its handler.
+    void abortRunningCall(CallId id, const Call &call);
     // Sends a request that the queue has started to the backend server, or refuses it if the crash guard does not let it run.
     void startCall(CallId id);
     // True if a banned fingerprint may be tried on this instance.
--- a/tests/relay/servinggateway_test.cpp
+++ b/tests/relay/servinggateway_test.cpp
@@ -1,6 +1,7 @@
 #include <future>
 #include <sstream>
 
+#include "core/base/manualclock.h"
 #include "net/steadyclock.h"
 #include "relay/servinggateway.h"
 #include "relaysetup.h"
@@ -8,6 +9,90 @@
 #include <CppUTest/TestHarness.h>
 
 using namespace wisteriafork;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Backend server whose connections have gone silent: requests are sent and get no response, and nothing shows that the connection is dead.
+class SilentServer : public RequestSender
+{
+public:
+    std::shared_ptr<ClientExchange> send(std::shared_ptr<const HttpRequest>, HttpHeaders, ResponseHandler handler) override
+    {
+        ++sent;
+        m_handlers.push_back(std::move(handler));
+        return std::make_shared<Exchange>(*this);
+    }
+
+    void probe(std::function<void(bool accepted)>) override
+    {
+    }
+
+    unsigned sent = 0;
+    unsigned cancelled = 0;
+
+private:
+    class Exchange : public ClientExchange
+    {
+    public:
+        explicit Exchange(SilentServer &server) : m_server(server)
+        {
+        }
+
+        void cancel() override
+        {
+            ++m_server.cancelled;
+        }
+
+    private:
+        SilentServer &m_server;
+    };
+
+    std::vector<ResponseHandler> m_handlers;
+};
+
+// A gateway in virtual time beside a silent backend server with a few slots.
+struct SilentHost
+{
+    explicit SilentHost(unsigned slots)
+    {
+        parts.queue.setSlots(slots);
+    }
+
+    CallId serve(RequestKind kind)
+    {
+        return gateway.serve({.http = std::make_shared<HttpRequest>(HttpRequest{.method = "POST", .target = "/book/1"}),
+                              .instance = "i-1",
+                              .route = "book",
+                              .kind = kind,
+                              .deadline = clock.now() + 1s},
+                             [this](const AttemptOutcome &outcome) {
+                                 ++outcomes;
+                                 refusals += std::holds_alternative<NotExecuted>(outcome.result) ? 1 : 0;
+                             });
+    }
+
+    // Lets the time pass in steps in which the gateway is polled and ticked.
+    void runFor(Duration time)
+    {
+        for (const TimePoint end = clock.now() + time; clock.now() < end;) {
+            clock.advance(100ms);
+            gateway.tick();
+        }
+    }
+
+    asio::io_context context;
+    ManualClock clock;
+    std::ostringstream output;
+    EventLog log{LogOptions{}, output};
+    RelayParts parts{context, RelaySettings{.node = "n", .headers = testHeaderNames()}, clock, log};
+    SilentServer server;
+    ServingGateway gateway{parts, server};
+    unsigned outcomes = 0;
+    unsigned refusals = 0;
+};
+
+} // namespace
 
 TEST_GROUP(ServingGateway)
 {
@@ -128,3 +213,59 @@
     LONGS_EQUAL(0, parts.crashGuard.suspectCount());
     running.stop();
 }
+
+// Guards against slots that are lost for the life of the process: a non-idempotent request whose connection has gone silent was kept after
+// its sender had cancelled it, until the backend server would answer.
+TEST(ServingGateway, RequestsOnSilentConnectionsGiveTheirSlotsBackAfterTheirDeadline)
+{
+    constexpr unsigned Slots = 8;
+    SilentHost host(Slots);
+    std::vector<CallId> calls;
+    for (unsigned number = 0; number < Slots; ++number) {
+        calls.push_back(host.serve(RequestKind::NonIdempotent));
+    }
+    const unsigned started = host.server.sent;
+    host.runFor(1s);
+    for (const CallId call : calls) {
+        host.gateway.cancel(call);
+    }
+
+    host.runFor(1s);
+
+    LONGS_EQUAL(started, host.server.cancelled);
+    LONGS_EQUAL(0, host.gateway.openCallCount());
+    LONGS_EQUAL(0, host.parts.queue.report().runningRequests);
+    LONGS_EQUAL(0, host.parts.crashGuard.suspectCount());
+    host.serve(RequestKind::NonIdempotent);
+    LONGS_EQUAL(started + 1, host.server.sent);
+}
+
+// Guards against a request of another node that ends only with its sender: a sender that stalls, or whose clock runs slower, would hold the
+// slot. A request that was sent and has no response may have been executed.
+TEST(ServingGateway, AnOverdueRequestEndsWithoutItsSenderAndIsNotReportedAsRefused)
+{
+    for (const RequestKind kind : {RequestKind::Idempotent, RequestKind::NonIdempotent}) {
+        SilentHost host(1);
+        host.serve(kind);
+
+        host.runFor(2s);
+
+        LONGS_EQUAL(1, host.server.cancelled);
+        LONGS_EQUAL(1, host.outcomes);
+        LONGS_EQUAL(0, host.refusals);
+        CHECK(host.gateway.isIdle());
+    }
+}
+
+// Guards against a non-idempotent request that is broken off while the backend server may still answer it.
+TEST(ServingGateway, ACancelledNonIdempotentRequestIsNotBrokenOffBeforeItsDeadline)
+{
+    SilentHost host(1);
+    const CallId call = host.serve(RequestKind::NonIdempotent);
+    host.gateway.cancel(call);
+
+    host.runFor(1s);
+
+    LONGS_EQUAL(0, host.server.cancelled);
+    LONGS_EQUAL(1, host.parts.queue.report().runningRequests);
+}
