Never send a request again on a connection that has refused it

Another operator reports a faulty backend server that wrote an earlier refusal once more on a kept connection. It can happen here: the copy is recognized by the echoed request id, but a refused request that has reached as many instances as its route allows is sent to the same instance again, with the same id and on the same connection. The copy then counted as its response, so that the caller was told "not run" for a request that ran, or it was sent to another instance.

Change: a connection remembers the requests whose response was a failure, and the client chooses another one for them, or opens one in place of the oldest idle one. After 64 such requests a connection is closed, so that none has to be forgotten.

The new test failed before ("the copy of the refusal was taken for the response"); with a pool of one connection and of four it passes.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -19,22 +19,28 @@
     void submit(std::shared_ptr<HttpClientJob> job)
     {
         std::shared_ptr<HttpClientConnection> connection;
-        bool stopped = false;
+        std::shared_ptr<HttpClientConnection> replaced;
         {
             const std::lock_guard lock(m_mutex);
-            stopped = m_stopped;
-            if (!m_idleConnections.empty()) {
-                // The most recently used connection is the least likely to reach the keep-alive timeout of the server.
-                connection = m_idleConnections.back();
-                m_idleConnections.pop_back();
-            } else if (!stopped && m_connections.size() < m_options.maxConnections) {
+            connection = takeIdleConnection(*job->request);
+            if (!connection && !m_stopped && m_connections.size() >= m_options.maxConnections) {
+                if (m_idleConnections.empty()) {
+                    m_waitingJobs.push_back(std::move(job));
+                    return;
+                }
+                // No idle connection may carry this request: one of them makes room for a new one.
+                replaced = m_idleConnections.front();
+                m_idleConnections.erase(m_idleConnections.begin());
+                std::erase(m_connections, replaced);
+            }
+            if (!connection && !m_stopped) {
                 connection = std::make_shared<HttpClientConnection>(m_context, m_options, weak_from_this());
                 m_connections.push_back(connection);
-            } else if (!stopped) {
-                m_waitingJobs.push_back(job);
-                return;
             }
         }
+        if (replaced) {
+            replaced->stop();
+        }
         if (connection) {
             connection->runJob(std::move(job));
         } else {
@@ -75,12 +81,11 @@
         {
             const std::lock_guard lock(m_mutex);
             next = takeWaitingJob();
-            if (!next) {
-                m_idleConnections.push_back(connection);
-                return;
-            }
+            m_idleConnections.push_back(connection);
+        }
+        if (next) {
+            submit(std::move(next));
         }
-        connection->runJob(std::move(next));
     }
 
     void onConnectionClosed(const std::shared_ptr<HttpClientConnection> &connection) override
@@ -121,6 +126,21 @@
     }
 
 private:
+    // Removes and returns the most recently used idle connection that may carry the request, as it is the least likely to reach the
+    // keep-alive timeout of the server; null if there is none. Called with the lock held.
+    std::shared_ptr<HttpClientConnection> takeIdleConnection(const HttpRequest &request)
+    {
+        const auto found = std::ranges::find_if(
+            m_idleConnections.rbegin(), m_idleConnections.rend(),
+            [&](const std::shared_ptr<HttpClientConnection> &connection) { return !connection->hasFailed(request); });
+        if (found == m_idleConnections.rend()) {
+            return nullptr;
+        }
+        std::shared_ptr<HttpClientConnection> connection = *found;
+        m_idleConnections.erase(std::next(found).base());
+        return connection;
+    }
+
     // Removes and returns the oldest waiting request that is not cancelled; null if there is none. Called with the lock held.
     std::shared_ptr<HttpClientJob> takeWaitingJob()
     {
--- a/src/net/httpclientconnection.cpp
+++ b/src/net/httpclientconnection.cpp
@@ -1,5 +1,6 @@
 #include "net/httpclientconnection.h"
 
+#include "core/base/hashing.h"
 #include "net/http1text.h"
 #include "net/keepaliveprobes.h"
 
@@ -17,6 +18,10 @@
 constexpr unsigned MaxForeignResponses = 8;
 // Received bytes that may be kept until the parser can use them: a header, a chunk header or a trailer that is not complete.
 constexpr std::size_t MaxUnparsedBytes = std::size_t{64} * 1024;
+// Failed requests that a connection remembers; it is closed after so many.
+constexpr std::size_t MaxFailedRequests = 64;
+// Status from which a response is a failure, after which the same request may be sent again.
+constexpr unsigned FirstFailureStatus = 400;
 // Time for the rest of a request body to be sent after its response. The server may read it late.
 constexpr std::chrono::milliseconds LateBodyTimeout{5000};
 
@@ -109,6 +114,20 @@
     asio::dispatch(m_socket.get_executor(), [self = shared_from_this()] { self->failJob(ExchangeError::Interrupted); });
 }
 
+bool HttpClientConnection::hasFailed(const HttpRequest &request) const
+{
+    return !m_failedRequests.empty()
+        && std::ranges::find(m_failedRequests, hash64(request.headers.find(m_options.echoedField))) != m_failedRequests.end();
+}
+
+bool HttpClientConnection::recordResponse(const HttpRequest &request, unsigned status)
+{
+    if (!m_options.echoedField.empty() && status >= FirstFailureStatus) {
+        m_failedRequests.push_back(hash64(request.headers.find(m_options.echoedField)));
+    }
+    return m_failedRequests.size() < MaxFailedRequests;
+}
+
 void HttpClientConnection::connect()
 {
     m_phase = Phase::Connecting;
@@ -244,8 +263,9 @@
 {
     const std::shared_ptr<HttpClientJob> job = std::exchange(m_job, nullptr);
     const std::chrono::milliseconds idle = maxIdleTime();
-    const bool reusable = m_reader.isKeepAlive() && !mustClose && idle.count() > 0;
+    const bool keepsAlive = m_reader.isKeepAlive();
     HttpResponse response = m_reader.takeResponse();
+    const bool reusable = recordResponse(*job->request, response.status) && keepsAlive && !mustClose && idle.count() > 0;
     response.reservation = std::make_shared<BufferReservation>(std::move(m_reservation));
     m_reservation = BufferReservation(m_options.limits.bufferBudget);
     if (!reusable) {
--- a/src/net/httpclientconnection.h
+++ b/src/net/httpclientconnection.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 namespace wisteriafork {
 
@@ -75,6 +76,9 @@
     void abortJob(const std::shared_ptr<HttpClientJob> &job);
     // Closes the connection; a request in progress ends with `Interrupted`. May be called from any thread.
     void stop();
+    // True if the connection has carried this request before and got a failure as its response. A faulty server may send that response once
+    // more, and the echoed field would not show that it is outdated. Call only while the connection is idle.
+    bool hasFailed(const HttpRequest &request) const;
 
 private:
     enum class Phase : std::uint8_t {
@@ -95,6 +99,8 @@
     void parseInput(std::string_view input);
     // False if the echoed header field shows that the response belongs to an earlier request.
     bool isResponseToCurrentRequest() const;
+    // Remembers the request if its response is a failure. False if the connection has remembered too many to be used on.
+    bool recordResponse(const HttpRequest &request, unsigned status);
     // Finishes the job with the parsed response. `mustClose` says that the connection cannot be reused.
     void onResponseComplete(bool mustClose);
     // Offers the connection to the pool for another request, for at most this time.
@@ -122,6 +128,8 @@
     std::string m_unparsedInput;
     // Share of the buffer budget of the response that is being received.
     BufferReservation m_reservation;
+    // Hashes of the echoed field of the requests that got a failure as their response.
+    std::vector<std::uint64_t> m_failedRequests;
     // Responses to earlier requests that were skipped while the current request is in progress.
     unsigned m_foreignResponses = 0;
     std::chrono::milliseconds m_idleTimeAfterRest{0};
--- a/tests/net/httpclient_test.cpp
+++ b/tests/net/httpclient_test.cpp
@@ -166,6 +166,67 @@
     STRCMP_EQUAL("new", result.has_value() ? result->body.c_str() : "no response");
 }
 
+// Guards against an earlier refusal that a server writes once more on a kept connection, after the same request was sent to it again: it
+// has the id of the request that runs now, which would be reported as not executed.
+TEST(HttpClient, ARepeatedRefusalIsNotTakenForTheResponseToTheSameRequestSentAgain)
+{
+    constexpr const char *Refusal = "HTTP/1.1 503 Unavailable\r\nx-id: 1\r\nx-not-executed: 1\r\nContent-Length: 0\r\n\r\n";
+    for (const std::size_t maxConnections : {std::size_t{1}, std::size_t{4}}) {
+        std::atomic<bool> hasRefused = false;
+        RawServer server([&](Tcp::socket &socket, unsigned) {
+            bool hasRefusedHere = false;
+            while (!RawServer::readHeader(socket).empty()) {
+                if (!hasRefused.exchange(true)) {
+                    hasRefusedHere = true;
+                    RawServer::send(socket, Refusal);
+                    continue;
+                }
+                if (hasRefusedHere) {
+                    RawServer::send(socket, Refusal);
+                }
+                RawServer::send(socket, KeptResponse);
+            }
+        });
+        HttpClientOptions options = optionsFor(server);
+        options.maxConnections = maxConnections;
+        HttpClient client(running.context, options);
+        LONGS_EQUAL(503, send(client).get()->status);
+
+        const auto second = send(client).get();
+
+        CHECK_TEXT(!second || second->status == 200, "the copy of the refusal was taken for the response");
+        client.stop();
+    }
+}
+
+// Guards against connections that are never reused because one of their requests was refused.
+TEST(HttpClient, ARefusalDoesNotCloseItsConnectionForOtherRequests)
+{
+    std::atomic<unsigned> connections = 0;
+    RawServer server([&](Tcp::socket &socket, unsigned) {
+        ++connections;
+        for (std::string header = RawServer::readHeader(socket); !header.empty(); header = RawServer::readHeader(socket)) {
+            const std::string id = header.substr(header.find("request-"), 9);
+            RawServer::send(socket, "HTTP/1.1 503 Unavailable\r\nx-id: " + id + "\r\nContent-Length: 0\r\n\r\n");
+        }
+    });
+    HttpClientOptions options = optionsFor(server);
+    HttpClient client(running.context, options);
+    const auto sendWithId = [&](const std::string &id) {
+        auto request = std::make_shared<HttpRequest>(HttpRequest{.method = "GET", .target = "/"});
+        request->headers.add("x-id", id);
+        std::promise<void> done;
+        client.send(request, {}, [&](const auto &) { done.set_value(); });
+        done.get_future().wait();
+    };
+
+    for (int number = 0; number < 5; ++number) {
+        sendWithId("request-" + std::to_string(number));
+    }
+
+    LONGS_EQUAL(1, connections);
+}
+
 // Guards against a connection that is closed, or used for the next request in the middle of a body, after a server responded before it had
 // read the whole body of a request.
 TEST(HttpClient, AnEarlyResponseLeavesTheRestOfTheBodyInItsPlace)
