Refuse calls that may outlast a shutdown

Another operator reports requests that came late in the grace period of a stop, were passed on and cut off without an answer. Here callers are refused after half of the usual grace period, but calls of the local backend server were taken until the process ended, and with a grace period of 3 s so were callers.

Change: when callers are refused, a call is taken only if its deadline is before the end of the process. The periods of a shutdown shrink with a grace period below the usual 6 s. With 6 s and more they are as before.

--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -116,7 +116,8 @@
     void readStop(ObjectReader &reader)
     {
         const auto fallback = static_cast<std::uint64_t>(m_settings.relay.stop.gracePeriod.count());
-        m_settings.relay.stop.gracePeriod = std::chrono::milliseconds(reader.integer("graceMs", MinStopGraceMs, MaxStopGraceMs, fallback));
+        m_settings.relay.stop
+            = StopOptions::within(std::chrono::milliseconds(reader.integer("graceMs", MinStopGraceMs, MaxStopGraceMs, fallback)));
     }
 
     void readLog(ObjectReader &reader)
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -105,7 +105,7 @@
         const TimePoint now = clock.now();
         const bool idle = node.isIdle();
         parts.refusesCallers = now - stopStartTime >= parts.settings.stop.callerAcceptPeriod;
-        const bool atTimeLimit = now - stopStartTime >= parts.settings.stop.gracePeriod - StopMargin;
+        const bool atTimeLimit = now >= parts.stopDeadline;
         const bool callersClosed = callerServer.connectionCount() == 0 || now - phaseStartTime >= ClosingPeriod;
         if (atTimeLimit || (stopPhase == StopPhase::Closing && idle && callersClosed)) {
             endStop();
@@ -227,6 +227,7 @@
     m_impl->parts.stopping = true;
     m_impl->onStopped = std::move(onStopped);
     m_impl->stopStartTime = m_impl->clock.now();
+    m_impl->parts.stopDeadline = m_impl->stopStartTime + m_impl->parts.settings.stop.gracePeriod - StopMargin;
     m_impl->parts.log.write(EventNumber::DrainStarted, {"signal"});
 }
 
--- a/src/relay/relaycall.cpp
+++ b/src/relay/relaycall.cpp
@@ -50,7 +50,7 @@
     if (!findRoute()) {
         return;
     }
-    if (m_parts.refusesCallers && !m_isInnerCall) {
+    if (m_parts.refusesCallers && (!m_isInnerCall || m_deadline > m_parts.stopDeadline)) {
         refuse(RefusalReason::Draining, "stopping");
         return;
     }
--- a/src/relay/relayparts.h
+++ b/src/relay/relayparts.h
@@ -79,6 +79,9 @@
     bool stopping = false;
     // New requests of callers are refused, because they might not finish before the process ends.
     bool refusesCallers = false;
+    // Time at which the process ends at the latest, once it shuts down. Calls of the local backend server that may last longer are refused
+    // with the requests of callers.
+    TimePoint stopDeadline = TimePoint::max();
     // The process shuts down, and other nodes should send no further requests.
     bool leaving = false;
 
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -1,3 +1,4 @@
+#include "relay/relayparts.h"
 #include "relaysetup.h"
 
 #include <CppUTest/TestHarness.h>
@@ -75,13 +76,14 @@
         return askAt(front.settings.callerEndpoint, method, target, host);
     }
 
-    tl::expected<HttpResponse, ExchangeError> askAt(const Tcp::endpoint &callers, const char *method, const char *target, const char *host)
+    tl::expected<HttpResponse, ExchangeError> askAt(const Tcp::endpoint &callers, const char *method, const char *target, const char *host,
+                                                    const char *id = "77aa", const char *deadline = "9000")
     {
         HttpClient client(running.context, {.server = callers});
         auto request = std::make_shared<HttpRequest>(HttpRequest{.method = method, .target = target, .body = "text"});
         request->headers.add("host", host);
-        request->headers.add("x-id", "77aa");
-        request->headers.add("x-deadline", "9000");
+        request->headers.add("x-id", id);
+        request->headers.add("x-deadline", deadline);
         request->headers.add("x-caller", "forged");
         request->headers.add("x-own", "kept");
         std::promise<tl::expected<HttpResponse, ExchangeError>> result;
@@ -341,6 +343,41 @@
     running.stop();
 }
 
+// Guards against calls of the local backend server that are taken late in a shutdown, passed on, and cut off without an answer when the
+// process ends.
+TEST(Relay, RefusesCallsThatMayOutlastAShutdown)
+{
+    constexpr const char *BeyondTheStop = "7200000";
+    RelayHost stopping(running.context, "stopping", "shop", shop, {.gracePeriod = 1h, .peerAcceptPeriod = 1h, .callerAcceptPeriod = 0s});
+    stopping.run([&] {
+        stopping.relay.node().applyRoutes(RouteTable(1, {testRoute("book", "/book/", RequestKind::NonIdempotent, 3h)}));
+        stopping.relay.node().putInstance(back.instance("i-1"));
+        stopping.relay.node().parts().runningRequests.onRequestStarted("77aa", {.route = "own"});
+        stopping.relay.stop([](std::size_t) {});
+    });
+    const Tcp::endpoint callers = stopping.settings.callerEndpoint;
+    CHECK(waitFor([&] { return askAt(callers, "POST", "/book/1", "a.example")->status == 503; }));
+    const std::size_t before = books.requests().size();
+
+    LONGS_EQUAL(200, askAt(callers, "POST", "/book/1", "a.example", "77aa.1")->status);
+    LONGS_EQUAL(503, askAt(callers, "POST", "/book/1", "a.example", "77aa.2", BeyondTheStop)->status);
+
+    LONGS_EQUAL(before + 1, books.requests().size());
+    running.stop();
+}
+
+// Guards against a node that takes requests until the end of a grace period that is shorter than usual, and cuts them off.
+TEST(Relay, StopsTakingRequestsInTheFirstHalfOfAnyGracePeriod)
+{
+    for (const std::chrono::milliseconds grace : {1000ms, 3000ms, 6000ms, 10000ms}) {
+        const StopOptions stop = StopOptions::within(grace);
+
+        CHECK(stop.gracePeriod == grace);
+        CHECK(stop.callerAcceptPeriod <= grace / 2);
+        CHECK(stop.peerAcceptPeriod < stop.callerAcceptPeriod);
+    }
+}
+
 TEST(Relay, IgnoresAnOlderConfiguration)
 {
     front.run([this] { front.relay.node().applyRoutes(RouteTable(0, {})); });
