Test more kinds of responses without end

Another operator reports a faulty backend server whose bytes without end, in a head or a body, took the memory of the node beside it. It cannot happen here: the tests of a header line, a chunk header, interim responses and bodies passed before, and so do the new ones without a change of the code. They play a trailer, short header fields, bytes that are no response, outdated responses and bytes behind a complete response. What they guard: the header limit of the parser and the bound on bytes that it cannot use yet, the bound on skipped responses, the reservation of each body in the common buffer budget, and that input on a connection without a request closes it.

--- a/tests/net/httpclient_test.cpp
+++ b/tests/net/httpclient_test.cpp
@@ -75,6 +75,76 @@
     CHECK(errorOf(send(client)) == ExchangeError::MalformedResponse);
 }
 
+// Guards against a trailer without end.
+TEST(HttpClient, CutsATrailerWithoutEnd)
+{
+    RawServer server([](Tcp::socket &socket, unsigned) {
+        RawServer::readHeader(socket);
+        RawServer::send(socket, "HTTP/1.1 200 OK\r\nx-id: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n");
+        while (RawServer::send(socket, "x-a: " + std::string(100, 'a') + "\r\n")) { }
+    });
+    HttpClient client(running.context, optionsFor(server));
+
+    CHECK(errorOf(send(client)) == ExchangeError::MalformedResponse);
+    LONGS_EQUAL(0, budget->usedBytes());
+}
+
+// Guards against many short header fields without end, of which none is too long by itself.
+TEST(HttpClient, CutsHeaderFieldsWithoutEnd)
+{
+    RawServer server([](Tcp::socket &socket, unsigned) {
+        RawServer::readHeader(socket);
+        RawServer::send(socket, "HTTP/1.1 200 OK\r\n");
+        while (RawServer::send(socket, "x-a: b\r\n")) { }
+    });
+    HttpClient client(running.context, optionsFor(server));
+
+    CHECK(errorOf(send(client)) == ExchangeError::MalformedResponse);
+}
+
+// Guards against bytes without end that never become a response: no line ends, or each line is one of noise.
+TEST(HttpClient, CutsBytesThatAreNoResponse)
+{
+    for (const std::string &piece : {std::string(PieceBytes, '\0'), std::string(PieceBytes, '\n'), std::string("noise\r\n")}) {
+        RawServer server([&](Tcp::socket &socket, unsigned) {
+            RawServer::readHeader(socket);
+            while (RawServer::send(socket, piece)) { }
+        });
+        HttpClient client(running.context, optionsFor(server));
+
+        CHECK(errorOf(send(client)) == ExchangeError::MalformedResponse);
+    }
+}
+
+// Guards against responses without end to requests that are over.
+TEST(HttpClient, CutsOutdatedResponsesWithoutEnd)
+{
+    RawServer server([](Tcp::socket &socket, unsigned) {
+        RawServer::readHeader(socket);
+        while (RawServer::send(socket, "HTTP/1.1 200 OK\r\nx-id: 7\r\nContent-Length: 2\r\n\r\nok")) { }
+    });
+    HttpClient client(running.context, optionsFor(server));
+
+    CHECK(errorOf(send(client)) == ExchangeError::MalformedResponse);
+}
+
+// Guards against bytes without end behind a complete response: they are kept for no request, and the response stands.
+TEST(HttpClient, CutsBytesWithoutEndBehindAResponse)
+{
+    std::promise<void> cut;
+    RawServer server([&](Tcp::socket &socket, unsigned) {
+        RawServer::readHeader(socket);
+        RawServer::send(socket, KeptResponse);
+        while (RawServer::send(socket, std::string(PieceBytes, 'a'))) { }
+        cut.set_value();
+    });
+    HttpClient client(running.context, optionsFor(server));
+
+    CHECK(send(client).get().has_value());
+
+    CHECK_TEXT(cut.get_future().wait_for(LongWait) == std::future_status::ready, "the connection stays open");
+}
+
 // Guards against interim responses without end.
 TEST(HttpClient, CutsInterimResponsesWithoutEnd)
 {
