Skip overdue requests that were cancelled meanwhile

The handler of an overdue request may cancel another attempt of the same request, which is then no longer in the table. No case is known in which both run on one node; the lookup would have thrown there.

--- a/src/relay/servinggateway.cpp
+++ b/src/relay/servinggateway.cpp
@@ -129,7 +129,12 @@
         }
     }
     for (const CallId id : overdue) {
-        const Call &call = m_calls.at(id);
+        const auto found = m_calls.find(id);
+        if (found == m_calls.end()) {
+            // Cancelled by the handler of another one.
+            continue;
+        }
+        const Call &call = found->second;
         m_parts.metrics.count(RelayCounter::Overdue);
         m_parts.log.writeDecision(EventNumber::ServerCallOverdue, false, [&] {
             const auto elapsedTime = std::chrono::duration_cast<std::chrono::milliseconds>(now - call.startTime);
