Log the evidence for each attempt of a refused request that may run once only

The logs could not tell why a refused request had been taken as not executed: relay-moved (1001) says "unreachable" for a connection that was never established and for a stream that the other node refused, and a request with several attempts had a line for each, of which each may be dropped.

Each NotExecuted now carries its evidence, which nodes pass on to each other in the field wf-evidence (ignored by earlier versions), and the error of a stream that the receiver refused differs from that of a request that was never sent. The new event sent-request-refused (1015) lists all attempts with reason, evidence and time in one line. No decision changes.

Test: Relay.LogsTheEvidenceForEachAttemptOfARefusedBooking.

--- a/src/net/clientexchange.h
+++ b/src/net/clientexchange.h
@@ -11,8 +11,10 @@
 
 // Reason why a request ended without a complete response.
 enum class ExchangeError : std::uint8_t {
-    // The request was not executed: it was not sent, or the receiver reported that it did not process it. It is safe to send it again.
+    // The request was not sent, so it was not executed. It is safe to send it again.
     NotProcessed,
+    // The receiver reported that it has not processed the request and will not do so. It is safe to send it again.
+    Refused,
     // The connection or stream failed after sending had started. Whether the receiver executed the request is unknown.
     Interrupted,
     // The response is larger than the limit for buffered responses. This side closed the connection or stream.
--- a/src/net/http2engine.cpp
+++ b/src/net/http2engine.cpp
@@ -163,8 +163,10 @@
         ExchangeError error = ExchangeError::Interrupted;
         if (stream->bodyTooLarge) {
             error = ExchangeError::ResponseTooLarge;
-        } else if (errorCode == NGHTTP2_REFUSED_STREAM || (!options.isServer && !stream->headerSent)) {
+        } else if (!options.isServer && !stream->headerSent) {
             error = ExchangeError::NotProcessed;
+        } else if (errorCode == NGHTTP2_REFUSED_STREAM) {
+            error = ExchangeError::Refused;
         }
         observer.onStreamFailed(id, error);
     }
--- a/src/observability/eventcatalogue.cpp
+++ b/src/observability/eventcatalogue.cpp
@@ -42,6 +42,7 @@
 constexpr FieldNames<1> SourceReadingFields{"state"};
 constexpr FieldNames<2> SourceReaderChangedFields{"address", "state"};
 constexpr FieldNames<4> ServerCallOverdueFields{"request", "route", "instance", "milliseconds"};
+constexpr FieldNames<4> SentRequestRefusedFields{"request", "route", "status", "attempts"};
 constexpr FieldNames<6> ServingLoadFields{"limit", "running", "queued", "waitMs", "pressure", "openCalls"};
 
 constexpr std::array Catalogue{
@@ -78,6 +79,7 @@
     EventDescription{Number::SourceReading, "source-reading", Severity::Info, SourceReadingFields},
     EventDescription{Number::SourceReaderChanged, "source-reader-changed", Severity::Info, SourceReaderChangedFields},
     EventDescription{Number::ServerCallOverdue, "server-call-overdue", Severity::Warning, ServerCallOverdueFields},
+    EventDescription{Number::SentRequestRefused, "sent-request-refused", Severity::Info, SentRequestRefusedFields},
 };
 
 } // namespace
--- a/src/observability/eventnumber.h
+++ b/src/observability/eventnumber.h
@@ -45,6 +45,7 @@
     SourceReading = 1012,
     SourceReaderChanged = 1013,
     ServerCallOverdue = 1014,
+    SentRequestRefused = 1015,
 };
 
 } // namespace wisteriafork
--- a/src/relay/attemptoutcome.h
+++ b/src/relay/attemptoutcome.h
@@ -35,10 +35,27 @@
     Unreachable,
 };
 
+// What proves that a request was not executed and will not be executed later.
+enum class NotExecutedEvidence : std::uint8_t {
+    // The node beside the instance decided before it had sent the request to the backend server.
+    NodeDecision,
+    // This node had no connection to the node beside the instance, so the request was not sent.
+    NodeNotConnected,
+    // The node beside the instance refused the stream of the request before it had read all of it.
+    StreamRefused,
+    // The node beside the instance had no connection to the backend server, so the request was not sent.
+    ServerNotConnected,
+    // The backend server marked its response to this request with the field for requests that it did not execute.
+    ServerField,
+    // The backend server responded to this request that it is another instance (status 421).
+    ServerMisdirected,
+};
+
 // The instance did not execute the request and is guaranteed not to execute it later.
 struct NotExecuted
 {
     NotExecutedReason reason = NotExecutedReason::Unreachable;
+    NotExecutedEvidence evidence = NotExecutedEvidence::NodeDecision;
 };
 
 // No usable response arrived; the instance may have executed the request.
@@ -79,4 +96,24 @@
     return "unreachable";
 }
 
+// Name of the evidence in log lines.
+constexpr const char *notExecutedEvidenceName(NotExecutedEvidence evidence)
+{
+    switch (evidence) {
+    case NotExecutedEvidence::NodeDecision:
+        return "node-decision";
+    case NotExecutedEvidence::NodeNotConnected:
+        return "node-not-connected";
+    case NotExecutedEvidence::StreamRefused:
+        return "stream-refused";
+    case NotExecutedEvidence::ServerNotConnected:
+        return "server-not-connected";
+    case NotExecutedEvidence::ServerField:
+        return "server-field";
+    case NotExecutedEvidence::ServerMisdirected:
+        break;
+    }
+    return "server-misdirected";
+}
+
 } // namespace wisteriafork
--- a/src/relay/peergateway.cpp
+++ b/src/relay/peergateway.cpp
@@ -45,7 +45,9 @@
                 outcome = std::move(*decoded);
             }
         } else if (result.error() == ExchangeError::NotProcessed) {
-            outcome.result = NotExecuted{.reason = NotExecutedReason::Unreachable};
+            outcome.result = NotExecuted{.reason = NotExecutedReason::Unreachable, .evidence = NotExecutedEvidence::NodeNotConnected};
+        } else if (result.error() == ExchangeError::Refused) {
+            outcome.result = NotExecuted{.reason = NotExecutedReason::Unreachable, .evidence = NotExecutedEvidence::StreamRefused};
         }
         asio::post(m_parts.context, [handler, outcome = std::move(outcome)]() mutable { handler(std::move(outcome)); });
     };
--- a/src/relay/relaycall.cpp
+++ b/src/relay/relaycall.cpp
@@ -248,6 +248,7 @@
         return std::vector<std::string>{std::string(requestId()), m_route->name, attempt.instance, notExecutedReasonName(result.reason),
                                         std::to_string(m_parts.directory.size())};
     });
+    recordNotExecuted(attempt, result);
     if (refusedByServer) {
         recordReachedInstance(attempt.instance);
     }
--- a/src/relay/relaycall.h
+++ b/src/relay/relaycall.h
@@ -80,6 +80,8 @@
     // Cancels the remaining attempts, logs `event` and sends the response.
     void respond(HttpResponse response, const char *event);
     void cancelAttempts();
+    // Adds an attempt to those that the log gives as the reason of a refusal.
+    void recordNotExecuted(const AttemptInfo &attempt, const NotExecuted &result);
     void reportRefusal(RefusalReason reason);
     void reportFailure();
     std::string_view requestId() const;
@@ -114,6 +116,8 @@
     TimePoint m_instanceWaitDeadline{};
     std::vector<Attempt> m_attempts;
     std::vector<std::string> m_triedInstances;
+    // The attempts that were not executed, in order, with reason, evidence and milliseconds, for the log.
+    std::string m_notExecutedAttempts;
     // Failure response of an instance, which is passed on if no other attempt succeeds.
     std::optional<HttpResponse> m_failureResponse;
     // Instances whose backend server received the request or may have received it.
--- a/src/relay/relaycallanswers.cpp
+++ b/src/relay/relaycallanswers.cpp
@@ -47,9 +47,22 @@
         const double retryAfterJitter = std::uniform_real_distribution<double>()(m_parts.random);
         response.headers.add("retry-after", decimalText(toSeconds(m_parts.admission.retryAfter(m_route->targetLatency, retryAfterJitter))));
     }
+    if (!m_attempts.empty() && m_route->kind == RequestKind::NonIdempotent) {
+        m_parts.log.writeDecision(EventNumber::SentRequestRefused, false, [&] {
+            return std::vector<std::string>{std::string(requestId()), m_route->name, std::to_string(response.status),
+                                            m_notExecutedAttempts};
+        });
+    }
     respond(std::move(response), event);
 }
 
+void RelayCall::recordNotExecuted(const AttemptInfo &attempt, const NotExecuted &result)
+{
+    const auto elapsedTime = std::chrono::duration_cast<std::chrono::milliseconds>(m_parts.clock.now() - attempt.startTime);
+    m_notExecutedAttempts += (m_notExecutedAttempts.empty() ? "" : ", ") + attempt.instance + " " + notExecutedReasonName(result.reason)
+        + " " + notExecutedEvidenceName(result.evidence) + " " + std::to_string(elapsedTime.count());
+}
+
 void RelayCall::relayResponse(HttpResponse response, RelayCounter counter)
 {
     m_parts.metrics.count(counter);
--- a/src/relay/relayheaders.cpp
+++ b/src/relay/relayheaders.cpp
@@ -17,8 +17,10 @@
 // microseconds, configuration version; then, separated by spaces, request id and target.
 // `ReportField` contains, separated by semicolons: limit, running, queued, holding time in microseconds, pressure in 1/1000, configuration
 // version, leaving; then, after a space, the origin header of the backend server if it set one.
-// `FailureField` contains the number of a `NotExecutedReason`, or "unknown" if the request may have been executed.
+// `FailureField` contains the number of a `NotExecutedReason`, or "unknown" if the request may have been executed. `EvidenceField` contains
+// the number of a `NotExecutedEvidence`.
 constexpr const char *FailureField = "wf-failure";
+constexpr const char *EvidenceField = "wf-evidence";
 constexpr std::string_view UnknownFailure = "unknown";
 
 constexpr double PressureScale = 1000.0;
@@ -159,6 +161,7 @@
         response.headers.remove(names.requestId);
     } else if (const auto *notExecuted = std::get_if<NotExecuted>(&outcome.result)) {
         response.headers.add(FailureField, std::to_string(static_cast<unsigned>(notExecuted->reason)));
+        response.headers.add(EvidenceField, std::to_string(static_cast<unsigned>(notExecuted->evidence)));
     } else {
         response.status = 502;
         response.headers.add(FailureField, std::string(UnknownFailure));
@@ -181,10 +184,15 @@
         response.headers.add(names.responseOrigin, std::string(rest));
     }
     const std::string failure = takeField(response.headers, FailureField);
+    const std::string evidence = takeField(response.headers, EvidenceField);
     if (failure.empty()) {
         outcome.result = ServerResponse{.response = std::move(response)};
     } else if (const auto reason = parseNumbers<1>(failure)) {
-        outcome.result = NotExecuted{.reason = static_cast<NotExecutedReason>(reason->front())};
+        // Nodes of earlier versions send no evidence.
+        const auto number = parseNumbers<1>(evidence);
+        outcome.result
+            = NotExecuted{.reason = static_cast<NotExecutedReason>(reason->front()),
+                          .evidence = number ? static_cast<NotExecutedEvidence>(number->front()) : NotExecutedEvidence::NodeDecision};
     } else {
         outcome.result = OutcomeUnknown{};
     }
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -213,6 +213,33 @@
     CHECK(!response->headers.find("retry-after").empty());
 }
 
+// Guards against a refused booking of which the log does not tell what proves that it has not run.
+TEST(Relay, LogsTheEvidenceForEachAttemptOfARefusedBooking)
+{
+    addSpare();
+    responder = [](ServerExchange &exchange) {
+        FakeInstance::respond(exchange, 503, "x-not-executed");
+    };
+    spare.run([this] { spare.relay.stop([](std::size_t) {}); });
+    front.run([this] {
+        Instance unreachable = spare.instance("i-2");
+        unreachable.peerAddress = "127.0.0.1:1";
+        unreachable.domain = DomainId("south");
+        front.relay.node().putInstance(unreachable);
+    });
+
+    LONGS_EQUAL(503, ask("POST", "/book/1")->status);
+
+    std::string line;
+    front.run([&] {
+        const std::string text = front.logText.str();
+        const std::size_t start = text.find("sent-request-refused");
+        line = start == std::string::npos ? std::string() : text.substr(start, text.find('\n', start) - start);
+    });
+    CHECK_TEXT(line.find("i-1 refused-by-server server-field ") != std::string::npos, line.c_str());
+    CHECK_TEXT(line.find(", i-2 unreachable node-not-connected ") != std::string::npos, line.c_str());
+}
+
 TEST(Relay, RefusesRequestsForAnInstanceThatIsNoLongerAtItsAddress)
 {
     responder = [](ServerExchange &exchange) {
