Add a soak with real processes, faulty links and signals

It reports REFUSED, TWICE, MIXED, LOST, UNASKED, SILENT and processes that end by themselves, from what clients got and what the journals of the servers say, together with the log lines of the request.

The ids of their calls are unique over restarts.

--- a/src/lab/commandline.cpp
+++ b/src/lab/commandline.cpp
@@ -147,6 +147,28 @@
     };
 }
 
+// "yes" or "no".
+ArgumentParser choiceParser(bool &target)
+{
+    return [&target](std::string_view text) {
+        target = text == "yes";
+        return text == "yes" || text == "no";
+    };
+}
+
+ArgumentParser framingParser(ResponseFraming &target)
+{
+    return [&target](std::string_view text) {
+        const std::map<std::string_view, ResponseFraming> framings{{"length", ResponseFraming::Length},
+                                                                   {"chunked", ResponseFraming::Chunked},
+                                                                   {"close", ResponseFraming::Close},
+                                                                   {"mixed", ResponseFraming::Mixed}};
+        const auto found = framings.find(text);
+        target = found == framings.end() ? target : found->second;
+        return found != framings.end();
+    };
+}
+
 ArgumentParser textListParser(std::vector<std::string> &target)
 {
     return [&target](std::string_view value) {
@@ -177,7 +199,10 @@
                                                   {"via", endpointParser(options.targets)},
                                                   {"tries", numberParser(options.attemptsPerCall)},
                                                   {"call-timeout-ms", millisecondsParser(options.callTimeout)},
-                                                  {"record", textParser(options.recordFile)}});
+                                                  {"record", textParser(options.recordFile)},
+                                                  {"journal", textParser(options.journalFile)},
+                                                  {"framing", framingParser(options.framing)},
+                                                  {"padding", numberParser(options.maxPaddingBytes)}});
     options.meanServiceTime = std::chrono::microseconds(serviceTimeUs);
     if (options.port == 0) {
         findings.push_back(missingOption("--port"));
@@ -249,6 +274,33 @@
     return options;
 }
 
+tl::expected<FaultSoakOptions, std::vector<Finding>> parseFaultSoakArguments(std::span<char *> arguments)
+{
+    FaultSoakOptions options;
+    std::int64_t seconds = options.loadTime.count();
+    std::vector<Finding> findings = parseOptions(arguments,
+                                                 {{"seeds", numberParser(options.seeds)},
+                                                  {"first-seed", numberParser(options.firstSeed)},
+                                                  {"seconds", numberParser(seconds)},
+                                                  {"clients", numberParser(options.clients)},
+                                                  {"node", textParser(options.nodeProgram)},
+                                                  {"lab", textParser(options.labProgram)},
+                                                  {"directory", textParser(options.directory)},
+                                                  {"first-port", numberParser(options.firstPort)},
+                                                  {"echo", choiceParser(options.echo)}});
+    options.loadTime = std::chrono::seconds(seconds);
+    if (options.nodeProgram.empty()) {
+        findings.push_back(missingOption("--node"));
+    }
+    if (seconds < 1) {
+        findings.push_back({.pointer = "--seconds", .message = "must be at least 1"});
+    }
+    if (!findings.empty()) {
+        return tl::make_unexpected(std::move(findings));
+    }
+    return options;
+}
+
 const char *usage()
 {
     return "usage: wisteriafork-lab <command> [options]\n"
@@ -257,7 +309,7 @@
            "  server     run a stand-in for a backend server\n"
            "             --name NAME --port PORT [--slots N] [--queue N] [--service-time-us N] [--seed N]\n"
            "             [--call METHOD:PATH]... [--via IP:PORT]... [--tries N] [--call-timeout-ms N]\n"
-           "             [--record FILE]\n"
+           "             [--record FILE] [--journal FILE] [--framing length|chunked|close|mixed] [--padding BYTES]\n"
            "  stats      add up the counters of stand-in servers; a booking counts once however many servers ran it\n"
            "             --server IP:PORT... [--record FILE]...\n"
            "  load       send requests as old clients do, and print the outcomes\n"
@@ -265,6 +317,9 @@
            "             [--wait-ms N] [--resend-ms N] [--resend-gap-ms N] [--seed N] [--result FILE]\n"
            "  soak       play fleets of nodes in virtual time under drawn troubles, and check every promise\n"
            "             [--seeds N] [--first-seed N] [--hosts-per-service N] [--log FILE]\n"
+           "  fault-soak run nodes and stand-in servers as processes, with faulty links and signals, and check every promise\n"
+           "             --node PROGRAM [--lab PROGRAM] [--seeds N] [--first-seed N] [--seconds N] [--clients N]\n"
+           "             [--directory DIRECTORY] [--first-port PORT] [--echo yes|no]\n"
            "\n"
            "exit codes: 0 done, 1 a promise was broken or answers reached the wrong caller, 2 wrong arguments\n";
 }
--- a/src/lab/httpserver.cpp
+++ b/src/lab/httpserver.cpp
@@ -49,9 +49,9 @@
         }
         const bool keepAlive = request.keep_alive();
         HttpResponse response = co_await m_handler(std::move(request), ClientConnection(stream));
-        response.keep_alive(keepAlive);
+        response.keep_alive(keepAlive && response.keep_alive());
         co_await http::async_write(stream, response, asio::redirect_error(asio::use_awaitable, error));
-        if (error || !keepAlive) {
+        if (error || !response.keep_alive()) {
             co_return;
         }
     }
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -1,5 +1,6 @@
 #include "fleet/invariantchecks.h"
 #include "lab/commandline.h"
+#include "lab/faults/faultsoak.h"
 #include "lab/loadgenerator.h"
 #include "lab/loadreportwriter.h"
 #include "lab/standinserver.h"
@@ -7,6 +8,8 @@
 
 #include <cinttypes>
 #include <cstdio>
+#include <exception>
+#include <filesystem>
 #include <fstream>
 #include <string_view>
 
@@ -121,6 +124,31 @@
     return violations == 0 ? 0 : ExitFailure;
 }
 
+int runFaultSoak(std::span<char *> arguments)
+{
+    auto options = parseFaultSoakArguments(arguments);
+    if (!options) {
+        return reportFindings(options.error());
+    }
+    if (options->labProgram.empty()) {
+        options->labProgram = std::filesystem::read_symlink("/proc/self/exe");
+    }
+    std::size_t requests = 0;
+    std::size_t violations = 0;
+    for (std::uint64_t seed = options->firstSeed; seed < options->firstSeed + options->seeds; ++seed) {
+        const FaultSoakResult result = FaultSoak(*options, seed).run();
+        requests += result.requests;
+        violations += result.findings.size();
+        std::printf("seed %" PRIu64 ": %s\n", seed, result.summary.c_str());
+        for (const std::string &finding : result.findings) {
+            std::printf("seed %" PRIu64 ": %s\n", seed, finding.c_str());
+        }
+        std::fflush(stdout);
+    }
+    std::printf("%u seeds, %zu requests, %zu findings\n", options->seeds, requests, violations);
+    return violations == 0 ? 0 : ExitFailure;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -136,6 +164,14 @@
     if (command == "soak") {
         return runSoak(arguments);
     }
+    if (command == "fault-soak") {
+        try {
+            return runFaultSoak(arguments);
+        } catch (const std::exception &error) {
+            std::fprintf(stderr, "wisteriafork-lab: %s\n", error.what());
+            return ExitFailure;
+        }
+    }
     if (command == "load") {
         return runLoad(arguments);
     }
--- a/src/lab/standinserver.cpp
+++ b/src/lab/standinserver.cpp
@@ -23,6 +23,8 @@
 constexpr const char *PropagatedHeaders[] = {RequestIdHeader, "traceparent", "Wf-Deadline-Ms", "Wf-Workspace"};
 // Id of one attempt of a request. The id of a child call is that of the request that it is made for, a dot and a number.
 constexpr const char *SendIdHeader = "Wf-Request-Id";
+// Name of the instance that a request is meant for.
+constexpr const char *ExpectedInstanceHeader = "Wf-Expected-Instance";
 
 // Time until the deadline that the request states, or `fallback` if it states none.
 std::chrono::milliseconds remainingTime(const HttpRequest &request, std::chrono::milliseconds fallback)
@@ -47,6 +49,7 @@
     , m_slots(context, m_options.slots, m_options.maxQueueLength)
     , m_random(m_options.seed)
     , m_executionRecord(m_options.recordFile)
+    , m_journal(m_options.journalFile)
 {
 }
 
@@ -74,6 +77,7 @@
     const std::string sendId(request[SendIdHeader]);
     HttpResponse response = co_await serveRequest(std::move(request), connection);
     response.set(SendIdHeader, sendId);
+    applyFraming(response);
     co_return response;
 }
 
@@ -82,6 +86,11 @@
     if (!request[CrashHeader].empty()) {
         std::_Exit(3);
     }
+    const beast::string_view expectedInstance = request[ExpectedInstanceHeader];
+    if (!expectedInstance.empty() && expectedInstance != m_options.name) {
+        ++m_counters.refused;
+        co_return makeResponse(request, http::status::misdirected_request, R"({"error":"this is another instance"})");
+    }
     const auto arrivalTime = std::chrono::steady_clock::now();
     const std::chrono::milliseconds remaining = remainingTime(request, std::chrono::hours(1));
     if (m_draining || !co_await m_slots.acquire()) {
@@ -109,6 +118,7 @@
     if (request.method() == http::verb::post) {
         m_executionRecord.recordExecution(requestId);
     }
+    m_journal.recordRun(std::string(request[SendIdHeader]), request);
     asio::steady_timer timer(m_context, drawServiceTime());
     co_await timer.async_wait(asio::use_awaitable);
     if (!co_await makeChildCalls(request)) {
@@ -120,8 +130,35 @@
         ++m_counters.wasted;
     }
     ++m_counters.answered;
-    const nlohmann::json body{{"instance", m_options.name}, {"request", requestId}, {"target", std::string(request.target())}};
-    co_return makeResponse(request, http::status::ok, body.dump());
+    co_return makeSuccess(request, requestId);
+}
+
+HttpResponse StandinServer::makeSuccess(const HttpRequest &request, const std::string &requestId)
+{
+    nlohmann::json body{{"instance", m_options.name}, {"request", requestId}, {"target", std::string(request.target())}};
+    if (m_options.maxPaddingBytes > 0) {
+        body["padding"] = std::string(std::uniform_int_distribution<std::size_t>(0, m_options.maxPaddingBytes)(m_random), 'p');
+    }
+    return makeResponse(request, http::status::ok, body.dump());
+}
+
+void StandinServer::applyFraming(HttpResponse &response)
+{
+    ResponseFraming framing = m_options.framing;
+    if (framing == ResponseFraming::Mixed) {
+        framing = static_cast<ResponseFraming>(std::uniform_int_distribution<int>(0, 2)(m_random));
+    }
+    if (framing == ResponseFraming::Chunked) {
+        response.chunked(true);
+    } else if (framing == ResponseFraming::Close) {
+        response.erase(http::field::content_length);
+        response.keep_alive(false);
+    }
+}
+
+std::string StandinServer::nextChildCallId(std::string_view parentId)
+{
+    return std::string(parentId) + "." + m_options.name + "-" + std::to_string(m_startTime) + "-" + std::to_string(++m_childCallCount);
 }
 
 asio::awaitable<bool> StandinServer::makeChildCalls(const HttpRequest &request)
@@ -152,10 +189,13 @@
             }
         }
         request.set("Wf-Deadline-Ms", std::to_string(timeout.count()));
+        std::string callId;
         if (!parent[SendIdHeader].empty()) {
-            request.set(SendIdHeader, std::string(parent[SendIdHeader]) + "." + std::to_string(++m_childCallCount));
+            callId = nextChildCallId(std::string(parent[SendIdHeader]));
+            request.set(SendIdHeader, callId);
         }
         const auto response = co_await m_client.send(m_options.targets[target % m_options.targets.size()], std::move(request), timeout);
+        m_journal.recordCall(callId, response ? response->result_int() : 0);
         if (response && response->result() == http::status::ok) {
             co_return true;
         }
--- a/src/lab/standinserver.h
+++ b/src/lab/standinserver.h
@@ -3,6 +3,7 @@
 #include "lab/executionrecord.h"
 #include "lab/httpclient.h"
 #include "lab/httpserver.h"
+#include "lab/requestjournal.h"
 #include "lab/slots.h"
 #include "lab/standinserveroptions.h"
 
@@ -13,8 +14,8 @@
 namespace wisteriafork::lab {
 
 // Stand-in for a backend server in experiments. It has a number of request slots with a queue and a random service time, makes calls to
-// other services, refuses requests whose deadline has passed or whose client has disconnected, and reports its load with a lag. Control
-// paths start with "/_lab/":
+// other services, refuses requests whose deadline has passed, whose client has disconnected or that are meant for another instance, and
+// reports its load with a lag. Control paths start with "/_lab/":
 //   GET /_lab/stats       counters
 //   GET /_lab/executions  executions of non-idempotent requests by request id
 //   GET /_lab/load        running requests and slots, as last sampled
@@ -55,6 +56,12 @@
     // Returns a response with status 503 that states that the request was not executed.
     HttpResponse makeRefusal(const HttpRequest &request, const char *reason);
     std::string statisticsJson() const;
+    // Returns the response to a request that was executed.
+    HttpResponse makeSuccess(const HttpRequest &request, const std::string &requestId);
+    // Gives the response the framing of the options.
+    void applyFraming(HttpResponse &response);
+    // Id of the next child call of the request; no other call of any server has it.
+    std::string nextChildCallId(std::string_view parentId);
     std::chrono::microseconds drawServiceTime();
 
     asio::io_context &m_context;
@@ -63,9 +70,11 @@
     HttpClient m_client;
     Slots m_slots;
     std::mt19937_64 m_random;
-    // Child calls that carried an attempt id; the count makes these ids unique.
+    // Child calls that carried an attempt id; the count and the start time make these ids unique.
     std::uint64_t m_childCallCount = 0;
+    const std::int64_t m_startTime = std::chrono::system_clock::now().time_since_epoch().count();
     ExecutionRecord m_executionRecord;
+    RequestJournal m_journal;
     Counters m_counters;
     double m_serviceTimeFactor = 1.0;
     bool m_draining = false;
--- a/src/lab/standinserveroptions.h
+++ b/src/lab/standinserveroptions.h
@@ -16,6 +16,18 @@
     std::string path;
 };
 
+// How a stand-in server marks the end of its responses.
+enum class ResponseFraming : std::uint8_t {
+    // By a length.
+    Length,
+    // By chunks.
+    Chunked,
+    // By the end of the connection.
+    Close,
+    // By one of the others, drawn for each response.
+    Mixed,
+};
+
 struct StandinServerOptions
 {
     // Name in responses, for example "registar-osijek-1".
@@ -36,6 +48,11 @@
     std::chrono::milliseconds callTimeout{2000};
     // File to which executions are appended; none if empty.
     std::string recordFile;
+    // File to which executions and the responses to child calls are appended with their details; none if empty.
+    std::string journalFile;
+    ResponseFraming framing = ResponseFraming::Length;
+    // Upper limit of the size, in bytes, of a text that is added to successful responses; the size is drawn.
+    std::size_t maxPaddingBytes = 0;
 };
 
 } // namespace wisteriafork::lab
