Reject response headers that are made of two responses

Callers saw 503 with a promise for bookings that ran. Cause: a backend server that breaks off one response and goes on with the next on the same connection, or writes the beginning of an earlier refusal again, sends a status line inside a field or behind the reason phrase. The parser takes the status or the not-executed field from the first header and the request id from the second one, so the comparison of ids passes. The class of fault: a proof of "not executed" and the id that ties it to a request were taken from different messages.

A header that contains another status line is now malformed: the outcome of the request is unknown, its connection is closed. Wherever the first header is cut, its rest and the status line of the second are in one value, in the reason phrase, or form a line without a valid name, which the parser rejects already.

--- a/src/net/responsereader.cpp
+++ b/src/net/responsereader.cpp
@@ -2,6 +2,7 @@
 
 #include "net/asio.h"
 
+#include <algorithm>
 #include <cctype>
 #include <optional>
 
@@ -17,6 +18,25 @@
 // Interim responses (1xx) that are skipped before a response.
 constexpr unsigned MaxInterimResponses = 16;
 
+bool isDigit(char c)
+{
+    return c >= '0' && c <= '9';
+}
+
+// True if the text contains the beginning of a status line, for example "HTTP/1.1 200".
+bool containsStatusLine(boost::beast::string_view text)
+{
+    constexpr boost::beast::string_view Protocol = "HTTP/";
+    for (std::size_t start = text.find(Protocol); start != boost::beast::string_view::npos; start = text.find(Protocol, start + 1)) {
+        const boost::beast::string_view rest = text.substr(start + Protocol.size());
+        if (rest.size() >= 7 && isDigit(rest[0]) && rest[1] == '.' && isDigit(rest[2]) && rest[3] == ' ' && isDigit(rest[4])
+            && isDigit(rest[5]) && isDigit(rest[6])) {
+            return true;
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 class ResponseReader::Impl
@@ -45,6 +65,14 @@
         return message.find(http::field::transfer_encoding) != message.end() && !parser->chunked();
     }
 
+    // True if the header was cut off and continues with that of another response. Its fields then belong to two responses.
+    bool isJoinedHeader() const
+    {
+        const auto &message = parser->get();
+        return containsStatusLine(message.reason())
+            || std::any_of(message.begin(), message.end(), [](const auto &field) { return containsStatusLine(field.value()); });
+    }
+
     bool isDelimited() const
     {
         const unsigned status = parser->get().result_int();
@@ -86,6 +114,9 @@
         if (!m_impl->parser->is_header_done()) {
             continue;
         }
+        if (m_impl->isJoinedHeader()) {
+            return State::Malformed;
+        }
         const unsigned status = m_impl->parser->get().result_int();
         if (status < 200 && status != 101) {
             if (++m_impl->interimResponses > MaxInterimResponses) {
@@ -104,7 +135,7 @@
 
 bool ResponseReader::finishAtEof()
 {
-    if (!m_impl->allowCloseDelimited || !m_impl->parser->is_header_done() || m_impl->isDelimited()) {
+    if (!m_impl->allowCloseDelimited || !m_impl->parser->is_header_done() || m_impl->isDelimited() || bodyBytes() == 0) {
         return false;
     }
     ErrorCode error;
--- a/src/net/responsereader.h
+++ b/src/net/responsereader.h
@@ -10,7 +10,8 @@
 namespace wisteriafork {
 
 // Incremental parser for the HTTP/1.1 responses of one connection. Interim responses (1xx) are skipped. A close-delimited response, which
-// has neither a length nor chunked coding, is malformed unless allowed, because it is hard to distinguish from a truncated one.
+// has neither a length nor chunked coding, is malformed unless allowed, because it is hard to distinguish from a truncated one. A header
+// that is made of two, because a server broke off one response and went on with the next, is malformed.
 class ResponseReader
 {
 public:
@@ -29,7 +30,8 @@
     // Parses bytes from the front of the input and removes the parsed ones. Bytes that remain after `NeedMore` have to be passed again,
     // followed by further input.
     State consume(std::string_view &input);
-    // Reports that the server closed the connection without a reset. True if this completes a close-delimited response.
+    // Reports that the server closed the connection without a reset. True if this completes a close-delimited response. Without any byte of
+    // a body it does not: the server has probably broken off after the header.
     bool finishAtEof();
     // After `Complete` and before `takeResponse`: value of the header field with this name, ignoring case; empty if there is none.
     std::string_view headerField(std::string_view name) const;
--- a/tests/net/httpclient_test.cpp
+++ b/tests/net/httpclient_test.cpp
@@ -269,6 +269,60 @@
     }
 }
 
+// Guards against the beginning of an earlier refusal that a server writes once more and follows by the response to the request that runs:
+// the status or the fields of the one, with the id of the other.
+TEST(HttpClient, AFragmentOfAResponseIsNotJoinedWithTheNextOne)
+{
+    const std::string refusal
+        = "HTTP/1.1 503 Service Unavailable\r\nx-not-executed: 1\r\nServer: a\r\nx-id: 0\r\nContent-Length: 0\r\n\r\n";
+    const std::string success = "HTTP/1.1 200 OK\r\nx-id: 1\r\nx-seal: s\r\nContent-Length: 2\r\n\r\nok";
+    RawServer server([&](Tcp::socket &socket, unsigned connection) {
+        RawServer::readHeader(socket);
+        RawServer::send(socket, refusal.substr(0, connection) + success);
+    });
+
+    for (std::size_t cutAt = 0; cutAt <= refusal.size(); ++cutAt) {
+        HttpClient client(running.context, optionsFor(server));
+        auto future = send(client);
+        CHECK_TEXT(future.wait_for(LongWait) == std::future_status::ready, "the exchange does not end");
+        const auto result = future.get();
+
+        const bool isSuccess = result && result->status == 200 && !result->headers.contains("x-not-executed") && result->body == "ok";
+        CHECK_TEXT(isSuccess || !result, ("a response was made of two, after " + std::to_string(cutAt) + " bytes").c_str());
+    }
+}
+
+// Guards against a response that is cut off within its header, at any byte, and reaches the caller as complete, with an empty or short
+// body; with a length, in chunks or ended by the connection, and with any end of the connection.
+TEST(HttpClient, AResponseThatIsCutOffInItsHeaderIsNeverComplete)
+{
+    enum class End { Close, Reset, Silence };
+    for (const char *framing : {"Content-Length: 4\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+        const std::string header = std::string("HTTP/1.1 200 OK\r\nx-id: 1\r\nx-seal: s\r\n") + framing + "\r\n";
+        for (const End end : {End::Close, End::Reset, End::Silence}) {
+            RawServer server([&](Tcp::socket &socket, unsigned connection) {
+                RawServer::readHeader(socket);
+                RawServer::send(socket, header.substr(0, connection));
+                if (end == End::Silence) {
+                    // Ends when the client gives the connection up.
+                    RawServer::readBytes(socket, 1);
+                }
+                socket.set_option(asio::socket_base::linger(end == End::Reset, 0));
+                socket.close();
+            });
+            for (std::size_t cutAt = 0; cutAt <= header.size(); ++cutAt) {
+                HttpClient client(running.context, optionsFor(server));
+                auto future = send(client);
+                if (end == End::Silence) {
+                    CHECK_TEXT(future.wait_for(2ms) == std::future_status::timeout, "an incomplete response ends the exchange");
+                    client.stop();
+                }
+                CHECK(errorOf(std::move(future)) == ExchangeError::Interrupted);
+            }
+        }
+    }
+}
+
 // Guards against connections that are never reused because one of their requests was refused.
 TEST(HttpClient, ARefusalDoesNotCloseItsConnectionForOtherRequests)
 {
