Close a connection after a failure if its server repeats no request ids

A server that writes an earlier refusal once more on a kept connection made the next request count as not executed, if the node does not compare request ids (the setting echoesRequestId is false by default for wisteriafork-node; on the users' platform ids are always compared). Nothing ties such a refusal to its request, so no other request is sent on the connection after it.

HttpClient.ARepeatedRefusalIsNotTakenForAResponseOfAServerThatRepeatsNoIds failed before: 503 for 200.

--- a/src/net/httpclientconnection.cpp
+++ b/src/net/httpclientconnection.cpp
@@ -122,9 +122,13 @@
 
 bool HttpClientConnection::recordResponse(const HttpRequest &request, unsigned status)
 {
-    if (!m_options.echoedField.empty() && status >= FirstFailureStatus) {
-        m_failedRequests.push_back(hash64(request.headers.find(m_options.echoedField)));
+    if (status < FirstFailureStatus) {
+        return true;
+    }
+    if (m_options.echoedField.empty()) {
+        return false;
     }
+    m_failedRequests.push_back(hash64(request.headers.find(m_options.echoedField)));
     return m_failedRequests.size() < MaxFailedRequests;
 }
 
--- a/src/net/httpclientconnection.h
+++ b/src/net/httpclientconnection.h
@@ -99,7 +99,8 @@
     void parseInput(std::string_view input);
     // False if the echoed header field shows that the response belongs to an earlier request.
     bool isResponseToCurrentRequest() const;
-    // Remembers the request if its response is a failure. False if the connection has remembered too many to be used on.
+    // Remembers the request if its response is a failure. False if the connection has remembered too many to be used on, or cannot tell a
+    // repeated failure from the response to another request because the server copies no field.
     bool recordResponse(const HttpRequest &request, unsigned status);
     // Finishes the job with the parsed response. `mustClose` says that the connection cannot be reused.
     void onResponseComplete(bool mustClose);
--- a/tests/net/httpclient_test.cpp
+++ b/tests/net/httpclient_test.cpp
@@ -269,6 +269,31 @@
     }
 }
 
+// Guards against the copy of an earlier refusal that is taken for the response to another request, if the server repeats no ids.
+TEST(HttpClient, ARepeatedRefusalIsNotTakenForAResponseOfAServerThatRepeatsNoIds)
+{
+    RawServer server([](Tcp::socket &socket, unsigned connection) {
+        RawServer::readHeader(socket);
+        if (connection == 0) {
+            RawServer::send(socket, "HTTP/1.1 503 Unavailable\r\nx-not-executed: 1\r\nContent-Length: 0\r\n\r\n");
+            if (RawServer::readHeader(socket).empty()) {
+                return;
+            }
+            RawServer::send(socket, "HTTP/1.1 503 Unavailable\r\nx-not-executed: 1\r\nContent-Length: 0\r\n\r\n");
+        }
+        RawServer::send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    });
+    HttpClientOptions options = optionsFor(server);
+    options.echoedField.clear();
+    HttpClient client(running.context, options);
+    LONGS_EQUAL(503, send(client).get()->status);
+
+    const auto second = send(client).get();
+
+    LONGS_EQUAL(200, second ? second->status : 0);
+    client.stop();
+}
+
 // Guards against the beginning of an earlier refusal that a server writes once more and follows by the response to the request that runs:
 // the status or the fields of the one, with the id of the other.
 TEST(HttpClient, AFragmentOfAResponseIsNotJoinedWithTheNextOne)
