Take a stream as refused only if its receiver has reset it

A booking whose stream had been taken by the node beside the instance, and run, could be reported as not executed: refused with a promise, or sent to a second instance. Cause: nghttp2 closes all streams above the last one of a GOAWAY frame with REFUSED_STREAM on the sender's side, and the engine took this as proof. But the receiver goes on to take streams until the frame has been sent, for example those that arrive in the same read as the stream resets that make nghttp2 end a session (more than a thousand in a short time).

Only a RST_STREAM frame with REFUSED_STREAM counts now; the engine and nghttp2 send it before a request is passed on. Otherwise the outcome is unknown.

Sessions between real nodes were not seen to reach that many resets: this is a possible cause of the report, not a shown one.

--- a/src/net/http2engine.cpp
+++ b/src/net/http2engine.cpp
@@ -145,7 +145,7 @@
     }
 
     // Removes a closed stream and reports it as failed if the observer expects further events of it.
-    void removeStream(StreamId id, std::uint32_t errorCode)
+    void removeStream(StreamId id)
     {
         const auto found = streams.find(id);
         if (found == streams.end()) {
@@ -165,7 +165,7 @@
             error = ExchangeError::ResponseTooLarge;
         } else if (!options.isServer && !stream->headerSent) {
             error = ExchangeError::NotProcessed;
-        } else if (errorCode == NGHTTP2_REFUSED_STREAM) {
+        } else if (stream->refusedByPeer) {
             error = ExchangeError::Refused;
         }
         observer.onStreamFailed(id, error);
@@ -226,6 +226,13 @@
         if (frame->hd.type == NGHTTP2_GOAWAY) {
             engine.peerAnnouncedShutdown = true;
         }
+        // nghttp2 also closes streams with REFUSED_STREAM that a GOAWAY frame counts as not processed. The peer may have processed them: it
+        // goes on to receive streams until it has sent the frame.
+        if (frame->hd.type == NGHTTP2_RST_STREAM && frame->rst_stream.error_code == NGHTTP2_REFUSED_STREAM) {
+            if (Http2Stream *stream = engine.findStream(frame->hd.stream_id)) {
+                stream->refusedByPeer = true;
+            }
+        }
         const bool isMessageFrame = frame->hd.type == NGHTTP2_HEADERS || frame->hd.type == NGHTTP2_DATA;
         if (!isMessageFrame || (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) == 0) {
             return 0;
@@ -246,9 +253,9 @@
         return 0;
     }
 
-    static int onStreamClose(nghttp2_session *, StreamId id, std::uint32_t errorCode, void *userData)
+    static int onStreamClose(nghttp2_session *, StreamId id, std::uint32_t, void *userData)
     {
-        fromUserData(userData).removeStream(id, errorCode);
+        fromUserData(userData).removeStream(id);
         return 0;
     }
 
--- a/src/net/http2stream.h
+++ b/src/net/http2stream.h
@@ -28,6 +28,8 @@
     std::shared_ptr<BufferReservation> reservation;
     std::shared_ptr<const BufferReservation> outgoingReservation;
     bool headerSent = false;
+    // The peer has reset the stream with REFUSED_STREAM.
+    bool refusedByPeer = false;
     // The incoming message is complete and was passed to the observer.
     bool complete = false;
     bool responseSubmitted = false;
