--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -213,6 +213,23 @@
     CHECK(!response->headers.find("retry-after").empty());
 }
 
+// Guards against a status that promises that a request has not run, from a backend server that does not say so: it may have run.
+TEST(Relay, DoesNotPassOnAPromiseThatTheServerDidNotMake)
+{
+    for (const unsigned status : {408U, 429U, 503U}) {
+        responder = [status](ServerExchange &exchange) {
+            FakeInstance::respond(exchange, status, "x-seal");
+        };
+
+        const auto booking = ask("POST", "/book/1");
+        const auto read = ask("GET", "/read/1");
+
+        LONGS_EQUAL(502, booking->status);
+        LONGS_EQUAL(502, read->status);
+        CHECK_FALSE(booking->headers.contains("x-seal"));
+    }
+}
+
 // Guards against a refused booking of which the log does not tell what proves that it has not run.
 TEST(Relay, LogsTheEvidenceForEachAttemptOfARefusedBooking)
 {
