Separate the fields of backend servers from those of nodes

The response of a backend server is passed from node to node with its fields, among them those of the node itself. One with the name wf-failure made a request that had run count as not executed, one with the name wf-report took the place of the report of the node. Such fields are now removed at the node beside the instance, and a wf-published of a caller where the request enters. A number in wf-failure that this version does not know proves nothing: the outcome is unknown.

RelayHeaders.FieldsOfTheBackendServerAreNotTakenForThoseOfTheNode and RelayHeaders.AnUnknownReasonLeavesTheOutcomeUnknown failed before.

--- a/src/relay/peergateway.cpp
+++ b/src/relay/peergateway.cpp
@@ -52,9 +52,8 @@
         asio::post(m_parts.context, [handler, outcome = std::move(outcome)]() mutable { handler(std::move(outcome)); });
     };
     HttpHeaders fields = encodeRelayRequest(request, m_parts.settings.headers, m_parts.clock.now());
-    if (!m_parts.publishedRevisions.empty()) {
-        fields.add(RevisionsField, m_parts.publishedRevisions);
-    }
+    // An empty value removes a field of the caller with this name.
+    fields.add(RevisionsField, m_parts.publishedRevisions);
     return m_peers.send(address, request.http, std::move(fields), std::move(responseHandler));
 }
 
--- a/src/relay/peergateway.h
+++ b/src/relay/peergateway.h
@@ -39,8 +39,6 @@
 constexpr const char *SnapshotPath = "/published";
 // Path at which nodes ask each other for published changes.
 constexpr const char *ChangesPath = "/changes";
-// Header field with the revisions of the published state that the sender of a request or a response knows.
-constexpr const char *RevisionsField = "wf-published";
 // Path at which nodes receive reports on requests that are suspected of crashing backend servers.
 constexpr const char *SuspectsPath = "/suspects";
 
--- a/src/relay/relayheaders.cpp
+++ b/src/relay/relayheaders.cpp
@@ -22,6 +22,8 @@
 constexpr const char *FailureField = "wf-failure";
 constexpr const char *EvidenceField = "wf-evidence";
 constexpr std::string_view UnknownFailure = "unknown";
+constexpr std::int64_t LastReason = static_cast<std::int64_t>(NotExecutedReason::Unreachable);
+constexpr std::int64_t LastEvidence = static_cast<std::int64_t>(NotExecutedEvidence::ServerMisdirected);
 
 constexpr double PressureScale = 1000.0;
 
@@ -157,8 +159,13 @@
     HttpResponse response{.status = 503};
     if (auto *serverResponse = std::get_if<ServerResponse>(&outcome.result)) {
         response = std::move(serverResponse->response);
-        // The node that sent the request knows the id, so that it need not be sent back.
-        response.headers.remove(names.requestId);
+        // The node that sent the request knows the id, so that it need not be sent back. Fields of the backend server must not pass for
+        // those of the node.
+        for (const std::string_view name :
+             {std::string_view(names.requestId), std::string_view(FailureField), std::string_view(EvidenceField),
+              std::string_view(ReportField), std::string_view(RevisionsField)}) {
+            response.headers.remove(name);
+        }
     } else if (const auto *notExecuted = std::get_if<NotExecuted>(&outcome.result)) {
         response.headers.add(FailureField, std::to_string(static_cast<unsigned>(notExecuted->reason)));
         response.headers.add(EvidenceField, std::to_string(static_cast<unsigned>(notExecuted->evidence)));
@@ -187,12 +194,13 @@
     const std::string evidence = takeField(response.headers, EvidenceField);
     if (failure.empty()) {
         outcome.result = ServerResponse{.response = std::move(response)};
-    } else if (const auto reason = parseNumbers<1>(failure)) {
+    } else if (const auto reason = parseNumbers<1>(failure); reason && reason->front() >= 0 && reason->front() <= LastReason) {
         // Nodes of earlier versions send no evidence.
         const auto number = parseNumbers<1>(evidence);
+        const bool known = number && number->front() >= 0 && number->front() <= LastEvidence;
         outcome.result
             = NotExecuted{.reason = static_cast<NotExecutedReason>(reason->front()),
-                          .evidence = number ? static_cast<NotExecutedEvidence>(number->front()) : NotExecutedEvidence::NodeDecision};
+                          .evidence = known ? static_cast<NotExecutedEvidence>(number->front()) : NotExecutedEvidence::NodeDecision};
     } else {
         outcome.result = OutcomeUnknown{};
     }
--- a/src/relay/relayheaders.h
+++ b/src/relay/relayheaders.h
@@ -14,6 +14,8 @@
 constexpr const char *CallField = "wf-call";
 // The corresponding field of responses.
 constexpr const char *ReportField = "wf-report";
+// Revisions of the published state that the sender of a request or a response knows.
+constexpr const char *RevisionsField = "wf-published";
 
 // Header fields that describe a request between nodes. Values that recur, such as routes and instances, have fields of their own, which the
 // header compression reduces to one byte.
--- a/tests/relay/relayheaders_test.cpp
+++ b/tests/relay/relayheaders_test.cpp
@@ -103,6 +103,37 @@
     CHECK(std::holds_alternative<OutcomeUnknown>(unknown->result));
 }
 
+// Guards against fields of a backend server with the names of the node's own ones: a request that ran would count as refused.
+TEST(RelayHeaders, FieldsOfTheBackendServerAreNotTakenForThoseOfTheNode)
+{
+    HttpResponse response{.status = 200, .body = "whole"};
+    response.headers.add("wf-failure", "2");
+    response.headers.add("wf-evidence", "4");
+    response.headers.add("wf-report", "9;9;9;9;9;9;1 forged");
+    response.headers.add("wf-published", "7");
+
+    const auto outcome
+        = decodeOutcome(encodeOutcome({.result = ServerResponse{.response = response}, .report = ServingReport{}}, names), names);
+
+    CHECK(outcome.has_value());
+    const auto *decoded = std::get_if<ServerResponse>(&outcome->result);
+    CHECK(decoded != nullptr);
+    LONGS_EQUAL(0, decoded == nullptr ? 1 : decoded->response.headers.fields().size());
+    LONGS_EQUAL(0, outcome->report->queuedRequests);
+}
+
+// Guards against reasons of a later version that this one does not know: they prove nothing to it.
+TEST(RelayHeaders, AnUnknownReasonLeavesTheOutcomeUnknown)
+{
+    HttpResponse response{.status = 503};
+    response.headers.add("wf-failure", "99");
+    response.headers.add("wf-report", "1;0;0;0;0;1;0");
+
+    const auto outcome = decodeOutcome(std::move(response), names);
+
+    CHECK(outcome.has_value() && std::holds_alternative<OutcomeUnknown>(outcome->result));
+}
+
 TEST(RelayHeaders, RejectsAResponseWithoutAReport)
 {
     CHECK_FALSE(decodeOutcome({.status = 503}, names).has_value());
