--- a/src/core/relay/instancedirectory.cpp
+++ b/src/core/relay/instancedirectory.cpp
@@ -13,6 +13,7 @@
 {
     m_heldRemovals.erase(instance.id);
     m_removedAt.erase(instance.id);
+    m_displaced.erase(instance.id);
     if (!isKnownService(instance.service)) {
         // No request goes there, so that the entry must not displace the one of an instance at the same address.
         storeEntry(std::move(instance));
@@ -21,10 +22,15 @@
     if (const auto other = m_idByAddress.find(instance.address); other != m_idByAddress.end() && other->second != instance.id) {
         const Instance *known = find(other->second);
         if (known != nullptr && known->listRevision > instance.listRevision) {
-            // The entry belongs to an instance that has ended and whose address is in use again.
+            // The entry belongs to an instance that has ended and whose address is in use again, or the newer one to another writer.
             erase(instance.id);
+            const std::string id = instance.id;
+            m_displaced.emplace(id, std::move(instance));
             return;
         }
+        if (known != nullptr) {
+            m_displaced.insert_or_assign(known->id, *known);
+        }
         erase(std::string(other->second));
     }
     const std::string id = instance.id;
@@ -73,6 +79,7 @@
 {
     const Instance *known = find(id);
     if (known == nullptr) {
+        m_displaced.erase(id);
         return;
     }
     // An instance that was draining has shut down. Only an entry that expired without draining may belong to a live instance.
@@ -80,10 +87,24 @@
         m_heldRemovals.insert(id);
         return;
     }
-    erase(id);
+    eraseAndRestore(id);
     m_removedAt[id] = m_clock.now();
 }
 
+void InstanceDirectory::eraseAndRestore(const std::string &id)
+{
+    const std::string address = find(id)->address;
+    erase(id);
+    auto newest = m_displaced.end();
+    for (auto entry = m_displaced.begin(); entry != m_displaced.end(); ++entry) {
+        const bool isNewer = newest == m_displaced.end() || entry->second.listRevision > newest->second.listRevision;
+        newest = entry->second.address == address && isNewer ? entry : newest;
+    }
+    if (newest != m_displaced.end()) {
+        insertOrReplace(Instance(newest->second));
+    }
+}
+
 void InstanceDirectory::replaceAll(std::vector<Instance> instances)
 {
     std::unordered_set<std::string> listed;
@@ -91,6 +112,7 @@
         listed.insert(instance.id);
         insertOrReplace(std::move(instance));
     }
+    std::erase_if(m_displaced, [&](const auto &entry) { return !listed.contains(entry.first); });
     std::vector<std::string> missing;
     for (const auto &[id, service] : m_serviceById) {
         if (!listed.contains(id)) {
@@ -136,7 +158,7 @@
         return;
     }
     for (const std::string &id : std::exchange(m_heldRemovals, {})) {
-        erase(id);
+        eraseAndRestore(id);
         m_removedAt[id] = m_clock.now();
     }
 }
--- a/src/core/relay/instancedirectory.h
+++ b/src/core/relay/instancedirectory.h
@@ -36,7 +36,8 @@
     // Sets the services that requests may go to. An instance of another service never displaces the one at the same address. While no
     // service is set, all are known.
     void setServices(std::unordered_set<ServiceId> services);
-    // Stores an entry of the list. Of two instances at one backend server address only the one with the higher list revision is kept.
+    // Stores an entry of the list. Of two instances at one backend server address only the one with the higher list revision is used. The
+    // other one is used again if that one is removed.
     void insertOrReplace(Instance instance);
     // Removes an entry, or holds the removal back during and shortly after an outage of the list. An unknown id is ignored.
     void remove(const std::string &id);
@@ -72,6 +73,8 @@
     void storeEntry(Instance instance);
     // Removes an entry at once.
     void erase(const std::string &id);
+    // Removes an entry at once, and uses the newest one that it has displaced.
+    void eraseAndRestore(const std::string &id);
     // Removes the address of an instance from the index, unless it belongs to another one by now.
     void forgetAddress(const Instance &instance);
     bool isKnownService(const ServiceId &service) const;
@@ -84,6 +87,8 @@
     std::unordered_map<std::string, ServiceId> m_serviceById;
     // Ids of the instances by backend server address.
     std::unordered_map<std::string, std::string> m_idByAddress;
+    // Listed instances whose address belongs to a newer entry, by id.
+    std::unordered_map<std::string, Instance> m_displaced;
     // Ids of the entries whose removal is held back.
     std::unordered_set<std::string> m_heldRemovals;
     // Ids of removed instances, with the time of the removal.
--- a/tests/platform/publishedvalues_test.cpp
+++ b/tests/platform/publishedvalues_test.cpp
@@ -34,7 +34,7 @@
     static std::string entry(const char *state, const char *slots)
     {
         return std::string(R"({"Service":"shop","Address":"10.1.0.8:8301","Zone":"north","State":")") + state + R"(","Slots":)" + slots
-            + R"(,"ColdRemainingS":2.5,"Sequence":4})";
+            + R"(,"Version":"v1","ColdRemainingS":2.5,"Sequence":4})";
     }
 };
 
@@ -182,6 +182,14 @@
         with("8301", "-1"),
         with("north", std::string(1'000'000, 'n')),
         with("north", "\xff\xfe"),
+        with("\"Zone\":\"north\",", ""),
+        with("\"Zone\":\"north\"", "\"Zone\":\"\""),
+        with("\"Zone\":\"north\"", "\"Zone\":7"),
+        with("\"Version\":\"v1\"", "\"Version\":1"),
+        with("\"Version\":\"v1\",", ""),
+        with("\"Sequence\":4", "\"Sequence\":\"4\""),
+        with("\"Sequence\":4", "\"Sequence\":-4"),
+        with(",\"Sequence\":4", ""),
     };
 
     for (const std::string &value : values) {
--- a/tests/relay/instancedirectory_test.cpp
+++ b/tests/relay/instancedirectory_test.cpp
@@ -141,6 +141,36 @@
     STRCMP_EQUAL("a", directory.findByAddress("1:1")->id.c_str());
 }
 
+// Guards against a sound instance that stays unknown after the entry that took its address has gone: the list reports no change for it.
+TEST(InstanceDirectory, AnInstanceIsUsedAgainWhenTheEntryThatDisplacedItIsRemoved)
+{
+    directory.insertOrReplace(instance("sound", "shop", "1:1", 5));
+    directory.insertOrReplace(instance("foreign", "shop", "1:1", 9));
+    STRCMP_EQUAL("foreign", directory.findByAddress("1:1")->id.c_str());
+
+    directory.remove("foreign");
+
+    LONGS_EQUAL(1, directory.instancesOf(ServiceId("shop")).size());
+    const Instance *current = directory.findByAddress("1:1");
+    STRCMP_EQUAL("sound", current == nullptr ? "none" : current->id.c_str());
+}
+
+// Guards against an instance that has left and is used again because the one that took its address has left too.
+TEST(InstanceDirectory, ADisplacedInstanceThatIsRemovedDoesNotComeBack)
+{
+    directory.insertOrReplace(instance("left", "shop", "1:1", 5));
+    directory.insertOrReplace(instance("new", "shop", "1:1", 9));
+
+    directory.remove("left");
+    directory.remove("new");
+    directory.insertOrReplace(instance("gone", "shop", "2:1", 10));
+    directory.insertOrReplace(instance("newer", "shop", "2:1", 11));
+    directory.replaceAll({});
+
+    LONGS_EQUAL(0, directory.size());
+    CHECK(directory.findByAddress("1:1") == nullptr);
+}
+
 TEST(InstanceDirectory, ARemovedInstanceIsRememberedUntilItIsListedAgain)
 {
     directory.insertOrReplace(instance("a", "shop", "1:1"));
