Write all responses before a planned stop ends

Cause: a request counted as done as soon as its response was handed to the connection. The stop now waits, within the grace period, until no connection of a caller is writing and no stream of another node is open.

--- a/src/net/http2engine.cpp
+++ b/src/net/http2engine.cpp
@@ -153,6 +153,9 @@
         }
         const std::unique_ptr<Http2Stream> stream = std::move(found->second);
         streams.erase(found);
+        if (options.isServer && stream->complete) {
+            observer.onStreamEnded(id);
+        }
         if (!stream->complete) {
             bufferedBytes -= options.isServer ? stream->request.body.size() : stream->response.body.size();
         }
--- a/src/net/http2engine.h
+++ b/src/net/http2engine.h
@@ -27,6 +27,10 @@
     virtual void onResponseReceived(StreamId stream, HttpResponse response) = 0;
     // The stream ended before its response was complete. On the server side, called only if the request was reported and has no response.
     virtual void onStreamFailed(StreamId stream, ExchangeError error) = 0;
+    // Server side: a stream whose request was reported has ended, after its response was sent or without one.
+    virtual void onStreamEnded(StreamId)
+    {
+    }
 };
 
 struct Http2Options
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -75,6 +75,11 @@
     m_impl->acceptor->listener().stop();
 }
 
+std::size_t HttpServer::writingConnectionCount() const
+{
+    return m_impl->shared->writingConnections;
+}
+
 std::size_t HttpServer::connectionCount() const
 {
     return m_impl->shared->openConnections;
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -29,6 +29,8 @@
     void stop();
     // Number of open connections.
     std::size_t connectionCount() const;
+    // Number of connections that are writing a response.
+    std::size_t writingConnectionCount() const;
 
 private:
     class Impl;
--- a/src/net/httpserverconnection.cpp
+++ b/src/net/httpserverconnection.cpp
@@ -221,12 +221,14 @@
         m_response.body.clear();
     }
     m_timer.expireAfter(m_shared->limits.writeTimeout);
+    ++m_shared->writingConnections;
     const std::array<asio::const_buffer, 2> buffers{asio::buffer(m_head), asio::buffer(m_response.body)};
     asio::async_write(m_socket, buffers, [self = shared_from_this()](const ErrorCode &error, std::size_t) { self->onWritten(error); });
 }
 
 void HttpServerConnection::onWritten(const ErrorCode &error)
 {
+    --m_shared->writingConnections;
     m_exchange.reset();
     if (m_phase == Phase::Closed) {
         return;
--- a/src/net/httpserverconnection.h
+++ b/src/net/httpserverconnection.h
@@ -28,6 +28,8 @@
     std::atomic<std::size_t> bodyBytes;
     std::atomic<bool> closeAfterResponses = false;
     std::atomic<std::size_t> openConnections = 0;
+    // Connections that are writing a response.
+    std::atomic<std::size_t> writingConnections = 0;
 };
 
 // One accepted HTTP/1.1 connection. All members are used on its strand, except where noted.
--- a/src/net/peerserver.cpp
+++ b/src/net/peerserver.cpp
@@ -14,11 +14,11 @@
     using Acceptor = ConnectionAcceptor<PeerServerSession>;
 
     Impl(asio::io_context &context, ServerHandler &handler, const PeerOptions &options)
-        : openSessions(std::make_shared<std::atomic<std::size_t>>(0))
+        : load(std::make_shared<PeerServerLoad>())
         , acceptor(Acceptor::create(
               context,
-              {.createConnection = [&handler, options, openSessions = openSessions](
-                                       Socket socket) { return acceptSession(std::move(socket), handler, options, openSessions); },
+              {.createConnection
+               = [&handler, options, load = load](Socket socket) { return acceptSession(std::move(socket), handler, options, load); },
                .stopConnection =
                    [](PeerServerSession &session) {
                        session.shutDown();
@@ -27,18 +27,17 @@
     }
 
     static std::shared_ptr<PeerServerSession> acceptSession(Socket socket, ServerHandler &handler, const PeerOptions &options,
-                                                            const std::shared_ptr<std::atomic<std::size_t>> &openSessions)
+                                                            const std::shared_ptr<PeerServerLoad> &load)
     {
-        if (*openSessions >= options.limits.connections) {
+        if (load->openSessions >= options.limits.connections) {
             return nullptr;
         }
-        auto session
-            = std::make_shared<PeerServerSession>(makePeerTransport(std::move(socket), options.tls), options, handler, openSessions);
+        auto session = std::make_shared<PeerServerSession>(makePeerTransport(std::move(socket), options.tls), options, handler, load);
         session->start();
         return session;
     }
 
-    const std::shared_ptr<std::atomic<std::size_t>> openSessions;
+    const std::shared_ptr<PeerServerLoad> load;
     const std::shared_ptr<Acceptor> acceptor;
 };
 
@@ -69,7 +68,12 @@
 
 std::size_t PeerServer::sessionCount() const
 {
-    return *m_impl->openSessions;
+    return m_impl->load->openSessions;
+}
+
+std::size_t PeerServer::openStreamCount() const
+{
+    return m_impl->load->openStreams;
 }
 
 } // namespace wisteriafork
--- a/src/net/peerserver.h
+++ b/src/net/peerserver.h
@@ -25,6 +25,8 @@
     void stop();
     // Number of open sessions.
     std::size_t sessionCount() const;
+    // Number of streams whose request has arrived and whose response is not sent.
+    std::size_t openStreamCount() const;
 
 private:
     class Impl;
--- a/src/net/peerserversession.cpp
+++ b/src/net/peerserversession.cpp
@@ -27,18 +27,19 @@
 };
 
 PeerServerSession::PeerServerSession(std::unique_ptr<PeerTransport> transport, const PeerOptions &options, ServerHandler &handler,
-                                     std::shared_ptr<std::atomic<std::size_t>> openSessions)
+                                     std::shared_ptr<PeerServerLoad> load)
     : Http2Session(std::move(transport), options, true)
     , m_handler(handler)
-    , m_openSessions(std::move(openSessions))
+    , m_load(std::move(load))
     , m_handshakeTimer(this->transport().strand())
 {
-    ++*m_openSessions;
+    ++m_load->openSessions;
 }
 
 PeerServerSession::~PeerServerSession()
 {
-    --*m_openSessions;
+    --m_load->openSessions;
+    m_load->openStreams -= m_openStreams;
 }
 
 void PeerServerSession::start()
@@ -64,6 +65,8 @@
     exchange->request = std::make_shared<HttpRequest>(std::move(request));
     exchange->remoteAddress = m_remoteAddress;
     m_exchanges.emplace(stream, exchange);
+    ++m_openStreams;
+    ++m_load->openStreams;
     m_handler.handleRequest(std::move(exchange));
 }
 
@@ -84,6 +87,12 @@
     }
 }
 
+void PeerServerSession::onStreamEnded(StreamId)
+{
+    --m_openStreams;
+    --m_load->openStreams;
+}
+
 void PeerServerSession::sendResponse(StreamId stream, HttpResponse response)
 {
     if (isClosed() || m_exchanges.erase(stream) == 0) {
@@ -95,6 +104,7 @@
 
 void PeerServerSession::onConnectionClosed()
 {
+    m_load->openStreams -= std::exchange(m_openStreams, 0);
     const std::unordered_map<StreamId, std::weak_ptr<Exchange>> exchanges = std::exchange(m_exchanges, {});
     for (const auto &[stream, weakExchange] : exchanges) {
         if (const std::shared_ptr<Exchange> exchange = weakExchange.lock()) {
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -99,11 +99,11 @@
     }
 
     // Advances the shutdown. First only the readiness check fails, so that callers go elsewhere while other nodes can still reach the
-    // instance. Then other nodes are notified, and the process ends as soon as all accepted requests are answered.
+    // instance. Then other nodes are notified, and the process ends as soon as the responses to all accepted requests are written.
     void advanceStop()
     {
         const TimePoint now = clock.now();
-        const bool idle = node.isIdle();
+        const bool idle = node.isIdle() && peerServer.openStreamCount() == 0 && callerServer.writingConnectionCount() == 0;
         parts.refusesCallers = now - stopStartTime >= parts.settings.stop.callerAcceptPeriod;
         const bool atTimeLimit = now >= parts.stopDeadline;
         const bool callersClosed = callerServer.connectionCount() == 0 || now - phaseStartTime >= ClosingPeriod;
--- a/tests/relay/relay_test.cpp
+++ b/tests/relay/relay_test.cpp
@@ -1,6 +1,9 @@
 #include "relay/relayparts.h"
 #include "relaysetup.h"
 
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace wisteriafork;
@@ -360,6 +363,44 @@
     running.stop();
 }
 
+// Guards against a node that ends while it still writes a response to a slow reader, with time left in its grace period.
+TEST(Relay, WritesItsResponsesBeforeItStops)
+{
+    constexpr std::size_t BodyBytes = std::size_t{7} * 1024 * 1024;
+    RelayHost stopping(running.context, "stopping", "shop", shop, NoPeerAcceptance);
+    stopping.run([&] {
+        stopping.relay.node().applyRoutes(RouteTable(1, {testRoute("book", "/book/", RequestKind::NonIdempotent)}));
+        stopping.relay.node().putInstance(back.instance("i-1"));
+    });
+    responder = [](ServerExchange &exchange) {
+        HttpResponse response{.status = 200, .body = std::string(BodyBytes, 'b')};
+        response.headers.add("x-seal", "seal-1");
+        response.headers.add("x-id", "77ac");
+        exchange.respond(std::move(response));
+    };
+    asio::io_context context;
+    Tcp::socket socket(context);
+    socket.open(Tcp::v4());
+    socket.set_option(asio::socket_base::receive_buffer_size(64 * 1024));
+    socket.connect(stopping.settings.callerEndpoint);
+    const std::string request = "POST /book/1 HTTP/1.1\r\nHost: a.example\r\nX-Id: 77ac\r\nContent-Length: 0\r\n\r\n";
+    asio::write(socket, asio::buffer(request));
+    CHECK(waitFor([&] { return socket.available() > 0; }));
+    std::atomic<bool> stopped = false;
+
+    stopping.run([&] { stopping.relay.stop([&](std::size_t) { stopped = true; }); });
+    std::this_thread::sleep_for(LaterPhasesDuration);
+    CHECK_FALSE_TEXT(stopped, "the node stopped while it was writing a response");
+    std::string response;
+    ErrorCode error;
+    asio::read(socket, asio::dynamic_buffer(response), error);
+
+    CHECK_TEXT(response.size() > BodyBytes, "the response is cut off");
+    socket.close();
+    CHECK_TEXT(waitFor([&] { return stopped.load(); }), "the node does not stop");
+    running.stop();
+}
+
 TEST(Relay, ServesRequestsOfOtherNodesInTheFirstPhaseOfAShutdown)
 {
     back.run([this] { back.relay.stop([](std::size_t) {}); });
