Bound the wait of requests for buffer room

Cause: bodies in chunks take room as they arrive; those that do not fit together each kept theirs and waited for more until the connections timed out, while nothing was read, so that the end of a connection stayed unnoticed.

A request that holds room gives up after 0.2 s without more, one every 60 ms; every request gives up after 1 s. It gets 503 with Retry-After, which is true: it was never started. A waiting connection notices that its sender has left by polling for the end of the connection, which needs no read.

--- a/src/net/bufferbudget.h
+++ b/src/net/bufferbudget.h
@@ -48,6 +48,12 @@
     // Adapts the share to the size of the message. False if the budget has too little left; the share is unchanged then.
     bool resize(std::size_t messageBytes);
 
+    // True if the message has a share of the budget.
+    bool holdsRoom() const
+    {
+        return m_takenBytes > 0;
+    }
+
 private:
     void release();
 
--- a/src/net/httpserverconnection.cpp
+++ b/src/net/httpserverconnection.cpp
@@ -4,6 +4,9 @@
 #include "net/http1text.h"
 
 #include <array>
+#include <utility>
+
+#include <poll.h>
 
 namespace wisteriafork {
 
@@ -18,6 +21,15 @@
 constexpr std::chrono::milliseconds StopIdleTime{500};
 // Interval at which a request that waits for room in the buffers of the node is tried again.
 constexpr std::chrono::milliseconds RoomRetryInterval{20};
+// Time for which a request waits for room at most. Callers get a final response before the shortest time-out of a route (1 s) is exceeded
+// by half.
+constexpr std::chrono::milliseconds RoomWaitLimit{1000};
+// The same for a request that holds room meanwhile, and the time between two of them that are refused, in which the room that the first one
+// has given back is used.
+constexpr std::chrono::milliseconds HeldRoomWaitLimit{200};
+constexpr std::chrono::milliseconds RoomRefusalInterval{60};
+// Value of Retry-After for a request that was refused for lack of room, in seconds.
+constexpr const char *RoomRetryAfterSeconds = "0.5";
 
 } // namespace
 
@@ -158,20 +170,62 @@
 
 bool HttpServerConnection::reserveBody()
 {
-    m_waitsForRoom = !m_reservation.resize(m_reader.expectedBodyBytes());
+    const bool waitedBefore = std::exchange(m_waitsForRoom, !m_reservation.resize(m_reader.expectedBodyBytes()));
     if (m_waitsForRoom) {
+        if (!waitedBefore) {
+            m_roomWaitStart = std::chrono::steady_clock::now();
+        }
         m_roomTimer.expires_after(RoomRetryInterval);
         // No read is pending meanwhile, so that only this handler keeps the connection alive.
         m_roomTimer.async_wait([self = shared_from_this()](const ErrorCode &error) {
             if (!error && self->m_phase == Phase::Reading) {
-                self->processInput();
-                self->waitForInput();
+                self->retryReservation();
             }
         });
     }
     return !m_waitsForRoom;
 }
 
+void HttpServerConnection::retryReservation()
+{
+    if (hasSenderLeft()) {
+        close();
+        return;
+    }
+    processInput();
+    if (m_phase == Phase::Reading && m_waitsForRoom && mustGiveUpWaiting()) {
+        m_waitsForRoom = false;
+        m_roomTimer.cancel();
+        HttpResponse response = errorResponse(503, "there is no room for the body of the request");
+        response.headers.add("retry-after", RoomRetryAfterSeconds);
+        m_reader.startNextRequest();
+        m_reservation = BufferReservation(m_shared->limits.bufferBudget);
+        writeResponse(std::move(response), false, false);
+    }
+    waitForInput();
+}
+
+bool HttpServerConnection::hasSenderLeft()
+{
+    pollfd descriptor{.fd = m_socket.native_handle(), .events = POLLRDHUP, .revents = 0};
+    return ::poll(&descriptor, 1, 0) > 0 && (descriptor.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+bool HttpServerConnection::mustGiveUpWaiting()
+{
+    const auto now = std::chrono::steady_clock::now();
+    const auto waited = now - m_roomWaitStart;
+    if (waited >= RoomWaitLimit) {
+        return true;
+    }
+    if (!m_reservation.holdsRoom() || waited < HeldRoomWaitLimit) {
+        return false;
+    }
+    auto last = m_shared->lastRoomRefusal.load();
+    return now.time_since_epoch().count() - last >= std::chrono::steady_clock::duration(RoomRefusalInterval).count()
+        && m_shared->lastRoomRefusal.compare_exchange_strong(last, now.time_since_epoch().count());
+}
+
 void HttpServerConnection::startRequest()
 {
     m_phase = Phase::Handling;
--- a/src/net/httpserverconnection.h
+++ b/src/net/httpserverconnection.h
@@ -30,6 +30,8 @@
     std::atomic<std::size_t> openConnections = 0;
     // Connections that are writing a response.
     std::atomic<std::size_t> writingConnections = 0;
+    // Time, since the epoch of the steady clock, at which a request was last refused for lack of room.
+    std::atomic<std::chrono::steady_clock::rep> lastRoomRefusal = 0;
 };
 
 // One accepted HTTP/1.1 connection. All members are used on its strand, except where noted.
@@ -68,6 +70,13 @@
     // Reserves room for the body of the current request. False if there is none yet: it is tried again after a short time, and nothing is
     // read until then.
     bool reserveBody();
+    // Tries again to reserve room, unless the sender has left or has waited too long; its request is refused then.
+    void retryReservation();
+    // True if the sender has closed its side of the connection, also if there is unread input before its end.
+    bool hasSenderLeft();
+    // True if the request should be refused because it has waited too long for room. Requests that hold room while they wait for more may
+    // block each other, so they give up sooner, one after another.
+    bool mustGiveUpWaiting();
     void startRequest();
     // Sends an error response and closes the connection after it.
     void rejectInput(unsigned status, std::string_view message);
@@ -97,6 +106,8 @@
     Timer m_roomTimer;
     Phase m_phase = Phase::Reading;
     bool m_waitsForRoom = false;
+    // Start of the wait for room.
+    std::chrono::steady_clock::time_point m_roomWaitStart;
     bool m_keepAlive = true;
 };
 
--- a/tests/net/httpserver_test.cpp
+++ b/tests/net/httpserver_test.cpp
@@ -1,6 +1,9 @@
 #include "echoserver.h"
 
 #include <array>
+#include <memory>
+#include <thread>
+#include <vector>
 
 #include <CppUTest/TestHarness.h>
 
@@ -45,6 +48,11 @@
         return text;
     }
 
+    void close()
+    {
+        m_socket.close();
+    }
+
     // Reads until the server closes the connection.
     std::string readToEnd()
     {
@@ -210,3 +218,81 @@
 
     CHECK_TRUE(contains(waiting.readToEnd(), "200"));
 }
+
+// Guards against bodies in chunks that each hold a part of the common room, wait for more, and block each other and all other requests
+// until they are timed out.
+TEST(HttpServer, bodiesInChunksThatDoNotFitTogetherDoNotBlockEachOther)
+{
+    constexpr std::size_t BodyBytes = 400'000;
+    HttpLimits limits;
+    limits.bufferBudget = std::make_shared<BufferBudget>(3 * BodyBytes / 2);
+    HttpServer bounded(running.context, handler, limits);
+    bounded.listen(Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    std::vector<std::unique_ptr<RawClient>> clients;
+    std::vector<std::string> responses(4);
+    for (std::size_t number = 0; number < responses.size(); ++number) {
+        clients.push_back(std::make_unique<RawClient>(bounded.address()));
+        clients.back()->send("POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n30d40\r\n"
+                             + std::string(BodyBytes / 2, 'a') + "\r\n");
+    }
+    std::vector<std::thread> threads;
+    for (std::size_t number = 0; number < responses.size(); ++number) {
+        threads.emplace_back([&, number] {
+            clients[number]->send("30d40\r\n" + std::string(BodyBytes / 2, 'a') + "\r\n0\r\n\r\n");
+            responses[number] = clients[number]->readToEnd();
+        });
+    }
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+
+    int served = 0;
+    for (const std::string &response : responses) {
+        const bool success = response.starts_with("HTTP/1.1 200");
+        served += success ? 1 : 0;
+        CHECK_TEXT(success || response.starts_with("HTTP/1.1 503"), response.substr(0, 100).c_str());
+    }
+    CHECK_TEXT(served > 0, "none of the bodies was accepted");
+}
+
+// Guards against a request that is started after its client has left while the request was waiting for room.
+TEST(HttpServer, aRequestWhoseClientHasLeftWhileItWaitedForRoomIsNotStarted)
+{
+    constexpr std::size_t BodyBytes = 200'000;
+    HttpLimits limits;
+    limits.requestTimeout = std::chrono::hours(1);
+    limits.bufferBudget = std::make_shared<BufferBudget>(BodyBytes);
+    HttpServer bounded(running.context, handler, limits);
+    bounded.listen(Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    BufferReservation taken(limits.bufferBudget);
+    CHECK(taken.resize(BodyBytes));
+    RawClient client(bounded.address());
+    client.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 70000\r\n\r\n" + std::string(70'000, 'a'));
+    CHECK(waitUntil([&] { return bounded.connectionCount() == 1; }));
+
+    client.close();
+    const bool closed = waitUntil([&] { return bounded.connectionCount() == 0; });
+    CHECK(taken.resize(0));
+
+    CHECK_TEXT(closed, "the server does not notice that the client has left");
+    LONGS_EQUAL(0, handler.received);
+}
+
+// Guards against a request that waits for room without any response until its client gives up.
+TEST(HttpServer, refusesARequestThatWaitsTooLongForRoom)
+{
+    constexpr std::size_t BodyBytes = 200'000;
+    HttpLimits limits;
+    limits.bufferBudget = std::make_shared<BufferBudget>(BodyBytes);
+    HttpServer bounded(running.context, handler, limits);
+    bounded.listen(Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    BufferReservation taken(limits.bufferBudget);
+    CHECK(taken.resize(BodyBytes));
+    RawClient client(bounded.address());
+
+    client.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 70000\r\n\r\n" + std::string(70'000, 'a'));
+
+    const std::string response = client.readToEnd();
+    CHECK_TEXT(response.starts_with("HTTP/1.1 503") && contains(response, "Retry-After"), response.c_str());
+    LONGS_EQUAL(0, handler.received);
+}
