--- a/src/lab/faults/faultsoak.cpp
+++ b/src/lab/faults/faultsoak.cpp
@@ -13,6 +13,9 @@
 namespace {
 
 constexpr std::array<SoakMode, 4> Modes{SoakMode::Mixed, SoakMode::Links, SoakMode::Signals, SoakMode::Planned};
+// Each seed with this remainder plays cancellations instead of one of the modes above.
+constexpr std::uint64_t CancellationsDivisor = 12;
+constexpr std::uint64_t CancellationsRemainder = 11;
 // Time between the start of the processes and the first request, for the nodes to read their configuration.
 constexpr std::chrono::milliseconds WarmUpTime{300};
 // Time after the last request in which a request that was refused could still run: the longest deadline, and the time after it for which a
@@ -21,12 +24,31 @@
 constexpr unsigned MinServices = 2;
 constexpr std::size_t MaxLogLinesPerFinding = 12;
 
+SoakMode modeOf(std::uint64_t seed)
+{
+    return seed % CancellationsDivisor == CancellationsRemainder ? SoakMode::Cancellations : Modes[seed % Modes.size()];
+}
+
+SoakClientOptions clientOptions(SoakMode mode)
+{
+    SoakClientOptions options;
+    if (mode == SoakMode::Planned) {
+        options.partialShare = 0.0;
+        options.abandonShare = 0.0;
+    } else if (mode == SoakMode::Cancellations) {
+        options.abandonShare = 0.7;
+        options.maxPatience = std::chrono::milliseconds(12);
+        options.maxThinkTime = std::chrono::milliseconds(4);
+    }
+    return options;
+}
+
 } // namespace
 
 FaultSoak::FaultSoak(const FaultSoakOptions &options, std::uint64_t seed)
     : m_options(options)
     , m_seed(seed)
-    , m_mode(Modes[seed % Modes.size()])
+    , m_mode(modeOf(seed))
     , m_directory(std::filesystem::absolute(options.directory) / ("seed-" + std::to_string(seed)))
 {
 }
@@ -45,13 +67,13 @@
     }
     std::vector<std::unique_ptr<SoakClient>> clients;
     for (unsigned number = 0; number < m_options.clients; ++number) {
-        clients.push_back(std::make_unique<SoakClient>(context,
-                                                       SoakClientOptions{.name = "c" + std::to_string(number),
-                                                                         .ports = ports,
-                                                                         .services = deployment.services(),
-                                                                         .endTime = endTime,
-                                                                         .breaksOff = m_mode != SoakMode::Planned,
-                                                                         .seed = m_seed * 1'000'000 + number}));
+        SoakClientOptions clientSettings = clientOptions(m_mode);
+        clientSettings.name = "c" + std::to_string(number);
+        clientSettings.ports = ports;
+        clientSettings.services = deployment.services();
+        clientSettings.endTime = endTime;
+        clientSettings.seed = m_seed * 1'000'000 + number;
+        clients.push_back(std::make_unique<SoakClient>(context, std::move(clientSettings)));
         asio::co_spawn(context, clients.back()->run(), asio::detached);
     }
     Troublemaker troublemaker(context, deployment, m_mode, m_seed);
--- a/src/lab/faults/soakclient.cpp
+++ b/src/lab/faults/soakclient.cpp
@@ -14,16 +14,11 @@
 constexpr std::chrono::milliseconds ConnectTimeout{1000};
 // Time after its deadline for which a client waits for the final response.
 constexpr std::chrono::milliseconds ResponseSlack{1500};
-constexpr std::size_t MaxThinkMilliseconds = 60;
-constexpr std::size_t MinDeadlineMilliseconds = 400;
-constexpr std::size_t MaxDeadlineMilliseconds = 2000;
-constexpr std::size_t MaxAbandonMilliseconds = 300;
+constexpr std::chrono::milliseconds MinDeadline{400};
+constexpr std::chrono::milliseconds MaxDeadline{2000};
 constexpr std::size_t MaxBodyBytes = 4000;
 // Share of the requests that may run once only.
 constexpr double BookingShare = 0.7;
-// Shares of the requests of which only a part is sent, and on which the client gives up early.
-constexpr double PartialShare = 0.03;
-constexpr double AbandonShare = 0.05;
 // Unexpected bytes that a finding quotes.
 constexpr std::size_t MaxQuotedBytes = 200;
 constexpr std::uint64_t MaxResponseBytes = std::uint64_t{16} * 1024 * 1024;
@@ -38,7 +33,7 @@
 asio::awaitable<void> SoakClient::run()
 {
     while (std::chrono::steady_clock::now() < m_options.endTime) {
-        co_await sleepFor(std::chrono::milliseconds(drawNumber(0, MaxThinkMilliseconds)));
+        co_await sleepFor(drawTime(std::chrono::milliseconds(0), m_options.maxThinkTime));
         checkKeptConnection();
         if (!co_await connect()) {
             continue;
@@ -91,7 +86,7 @@
     record.method = booking ? "POST" : "GET";
     record.target = "/" + m_options.services[drawNumber(0, m_options.services.size() - 1)] + (booking ? "/book/" : "/view/") + record.id;
     HttpRequest request(booking ? http::verb::post : http::verb::get, record.target, 11);
-    m_deadline = std::chrono::milliseconds(drawNumber(MinDeadlineMilliseconds, MaxDeadlineMilliseconds));
+    m_deadline = drawTime(MinDeadline, MaxDeadline);
     request.set(http::field::host, "localhost");
     request.set("X-Lab-Request", record.id);
     request.set("Wf-Request-Id", record.id);
@@ -110,7 +105,7 @@
 asio::awaitable<void> SoakClient::exchange(SoakRequest &record)
 {
     const HttpRequest request = drawRequest(record);
-    if (m_options.breaksOff && draw(PartialShare)) {
+    if (draw(m_options.partialShare)) {
         record.abandoned = true;
         co_await sendPart(request);
         co_return;
@@ -124,9 +119,8 @@
         co_return;
     }
     record.sentWhole = true;
-    record.abandoned = m_options.breaksOff && draw(AbandonShare);
-    co_await receive(record,
-                     record.abandoned ? std::chrono::milliseconds(drawNumber(1, MaxAbandonMilliseconds)) : m_deadline + ResponseSlack);
+    record.abandoned = draw(m_options.abandonShare);
+    co_await receive(record, record.abandoned ? drawTime(std::chrono::milliseconds(1), m_options.maxPatience) : m_deadline + ResponseSlack);
 }
 
 asio::awaitable<void> SoakClient::sendPart(const HttpRequest &request)
@@ -137,7 +131,7 @@
     boost::system::error_code error;
     co_await asio::async_write(m_stream->socket(), asio::buffer(whole.data(), drawNumber(0, whole.size() - 1)),
                                asio::redirect_error(asio::use_awaitable, error));
-    co_await sleepFor(std::chrono::milliseconds(drawNumber(0, MaxAbandonMilliseconds)));
+    co_await sleepFor(drawTime(std::chrono::milliseconds(0), m_options.maxPatience));
     if (draw(0.5)) {
         m_stream->socket().set_option(asio::socket_base::linger(true, 0), error);
     }
@@ -181,6 +175,11 @@
     return std::bernoulli_distribution(share)(m_random);
 }
 
+std::chrono::milliseconds SoakClient::drawTime(std::chrono::milliseconds least, std::chrono::milliseconds most)
+{
+    return std::chrono::milliseconds(drawNumber(static_cast<std::size_t>(least.count()), static_cast<std::size_t>(most.count())));
+}
+
 std::size_t SoakClient::drawNumber(std::size_t least, std::size_t most)
 {
     return std::uniform_int_distribution<std::size_t>(least, most)(m_random);
--- a/src/lab/faults/soakclient.h
+++ b/src/lab/faults/soakclient.h
@@ -22,8 +22,12 @@
     std::vector<std::string> services;
     // Time at which it stops to send.
     std::chrono::steady_clock::time_point endTime;
-    // Whether it leaves some requests unfinished and gives up early on others.
-    bool breaksOff = true;
+    // Shares of the requests of which it sends only a part, and on which it gives up early, within `maxPatience`.
+    double partialShare = 0.03;
+    double abandonShare = 0.05;
+    std::chrono::milliseconds maxPatience{300};
+    // Upper limit of the time between two requests.
+    std::chrono::milliseconds maxThinkTime{60};
     std::uint64_t seed = 1;
 };
 
@@ -54,6 +58,7 @@
     asio::awaitable<void> sleepFor(std::chrono::milliseconds time);
     bool draw(double share);
     std::size_t drawNumber(std::size_t least, std::size_t most);
+    std::chrono::milliseconds drawTime(std::chrono::milliseconds least, std::chrono::milliseconds most);
 
     asio::io_context &m_context;
     const SoakClientOptions m_options;
--- a/src/lab/faults/soakmode.h
+++ b/src/lab/faults/soakmode.h
@@ -12,8 +12,10 @@
     Links,
     // Nodes and servers that are paused, killed and stopped.
     Signals,
-    // All of them.
+    // Faulty links and signals.
     Mixed,
+    // No faults, but clients that give up most requests after a few milliseconds, so that nodes cancel many requests of each other.
+    Cancellations,
 };
 
 constexpr const char *soakModeName(SoakMode mode)
@@ -26,9 +28,11 @@
     case SoakMode::Signals:
         return "signals";
     case SoakMode::Mixed:
+        return "links and signals";
+    case SoakMode::Cancellations:
         break;
     }
-    return "links and signals";
+    return "clients that give up";
 }
 
 } // namespace wisteriafork::lab
--- a/src/lab/faults/troublemaker.cpp
+++ b/src/lab/faults/troublemaker.cpp
@@ -41,7 +41,7 @@
 {
     m_endTime = endTime;
     const bool linksFail = m_mode == SoakMode::Links || m_mode == SoakMode::Mixed;
-    const bool processesFail = m_mode != SoakMode::Links;
+    const bool processesFail = m_mode != SoakMode::Links && m_mode != SoakMode::Cancellations;
     for (SoakHost &host : m_deployment.hosts()) {
         if (linksFail) {
             host.serverLink->setFaults(ServerLinkFaults);
