Set the linger time of a test's socket before another thread uses it

The thread sanitizer reported a data race in the test that cuts off responses of another node: one thread set a socket option while another read from the socket, which Asio does not allow on one object. The race was in the test's proxy, not in the product.

--- a/tests/net/peersession_test.cpp
+++ b/tests/net/peersession_test.cpp
@@ -61,6 +61,8 @@
         asio::io_context context;
         Tcp::socket server(context);
         server.connect(serverAddress);
+        // With a linger time of zero, closing the connection resets it. Set before the other thread uses the socket.
+        client.set_option(asio::socket_base::linger(m_end == CutEnd::Reset, 0));
         std::thread requests([&] {
             pass(client, server, SIZE_MAX);
             ErrorCode ignored;
@@ -73,7 +75,6 @@
             requests.join();
             return;
         }
-        client.set_option(asio::socket_base::linger(m_end == CutEnd::Reset, 0), error);
         // The thread ends because the server closes its connection or because the client does.
         client.shutdown(Tcp::socket::shutdown_receive, error);
         server.shutdown(Tcp::socket::shutdown_both, error);
