Identify workspaces by their keys, and read the slots of a server from the third figure

Cause: the relay did not know keys and workspaces. The slots were the figure after the last comma of the load field, so that a fourth figure, the speed, would have counted as slots. Inner calls inherit workspace and priority.

--- a/src/core/base/refusal.h
+++ b/src/core/base/refusal.h
@@ -12,6 +12,12 @@
     SuspectedOfCrash,
     Draining,
     NotConfigured,
+    // The request carries no key of a workspace.
+    UnknownKey,
+    // The node has no recent proof that its configuration is the newest, so that a key may have been withdrawn.
+    StaleConfiguration,
+    // The workspace has used up its quota.
+    OverQuota,
 };
 
 } // namespace wisteriafork
--- a/src/core/base/refusalname.cpp
+++ b/src/core/base/refusalname.cpp
@@ -17,6 +17,12 @@
         return "draining";
     case RefusalReason::NotConfigured:
         return "not-configured";
+    case RefusalReason::UnknownKey:
+        return "unknown-key";
+    case RefusalReason::StaleConfiguration:
+        return "stale-configuration";
+    case RefusalReason::OverQuota:
+        return "over-quota";
     }
     return "other";
 }
--- a/src/core/relay/route.h
+++ b/src/core/relay/route.h
@@ -48,6 +48,8 @@
     unsigned maxAttempts = 1;
     // Load shedding priority; 0 is the most urgent and is shed last.
     unsigned priority = 0;
+    // Callers need no access key.
+    bool isPublic = false;
 
     friend bool operator==(const Route &, const Route &) = default;
 };
--- a/src/core/relay/runningrequests.h
+++ b/src/core/relay/runningrequests.h
@@ -17,6 +17,8 @@
     unsigned priority = 0;
     // Whether an earlier attempt of the request, or of one of its parents, reached an instance.
     bool isRetry = false;
+    // Workspace of the original request; empty if there is none.
+    std::string workspace;
 };
 
 // The requests that the local backend server runs, by request id, and the routes that they call. A call id consists of the id of its parent
--- a/src/relay/headernames.h
+++ b/src/relay/headernames.h
@@ -20,10 +20,14 @@
     std::string callerService;
     // Set by a backend server on a response to a request that it did not execute.
     std::string notExecuted;
-    // Load that a backend server reports in its responses; the number after the last comma is its number of slots.
+    // Load that a backend server reports in its responses: the requests that it runs, those that wait, its number of slots, and possibly
+    // the time that work takes at this moment, in percent of the usual time; separated by commas.
     std::string instanceLoad;
-    // Workspace (customer of the platform) for which the caller acts; empty if the deployment has none.
+    // Workspace (customer of the platform) for which the caller acts; empty if the deployment has none. Set by the node if the
+    // configuration has workspaces with keys.
     std::string workspace;
+    // Access key of the caller's workspace; empty if the deployment has none. Backend servers never get it.
+    std::string credential;
 };
 
 } // namespace wisteriafork
--- a/src/relay/relaycallanswers.cpp
+++ b/src/relay/relaycallanswers.cpp
@@ -30,7 +30,7 @@
         relayResponse(std::move(*m_failureResponse), RelayCounter::FailedByServer);
     } else if (!m_mayHaveExecuted) {
         m_parts.metrics.count(RelayCounter::RefusedLater);
-        refuse(RefusalReason::Overloaded, "not-run");
+        refuse({.reason = RefusalReason::Overloaded, .event = "not-run"});
     } else if (m_parts.clock.now() >= m_deadline) {
         respondWithError(504, RelayCounter::TimedOut, "timed-out");
     } else {
@@ -38,14 +38,17 @@
     }
 }
 
-void RelayCall::refuse(RefusalReason reason, const char *event)
+void RelayCall::refuse(const Refuse &refusal)
 {
-    reportRefusal(reason);
-    HttpResponse response = errorResponse(503, event);
-    if (!m_isInnerCall) {
-        m_parts.admission.onRefusedAfterAdmission(m_admissionIdentity);
-        const double retryAfterJitter = std::uniform_real_distribution<double>()(m_parts.random);
-        response.headers.add("retry-after", decimalText(toSeconds(m_parts.admission.retryAfter(m_route->targetLatency, retryAfterJitter))));
+    reportRefusal(refusal.reason);
+    HttpResponse response = errorResponse(refusal.status, refusal.event);
+    if (!m_isInnerCall && refusal.reason != RefusalReason::UnknownKey) {
+        Duration delay = refusal.retryAfter.value_or(Duration(0));
+        if (!refusal.retryAfter) {
+            m_parts.admission.onRefusedAfterAdmission(m_admissionIdentity);
+            delay = m_parts.admission.retryAfter(m_route->targetLatency, std::uniform_real_distribution<double>()(m_parts.random));
+        }
+        response.headers.add("retry-after", decimalText(toSeconds(delay)));
     }
     if (!m_attempts.empty() && m_route->kind == RequestKind::NonIdempotent) {
         m_parts.log.writeDecision(EventNumber::SentRequestRefused, false, [&] {
@@ -53,7 +56,7 @@
                                             m_notExecutedAttempts};
         });
     }
-    respond(std::move(response), event);
+    respond(std::move(response), refusal.event);
 }
 
 void RelayCall::recordNotExecuted(const AttemptInfo &attempt, const NotExecuted &result)
@@ -124,7 +127,7 @@
 
 std::string_view RelayCall::workspace() const
 {
-    return m_exchange->request->headers.find(m_parts.settings.headers.workspace);
+    return m_workspace.empty() ? m_exchange->request->headers.find(m_parts.settings.headers.workspace) : std::string_view(m_workspace);
 }
 
 RelayObserver *RelayCall::observer() const
--- a/src/relay/relayheaders.cpp
+++ b/src/relay/relayheaders.cpp
@@ -151,6 +151,8 @@
     request.targetLatency = std::chrono::microseconds(target);
     request.configurationVersion = static_cast<std::uint64_t>(version);
     request.deadline = now + std::chrono::microseconds(remaining);
+    // The entry node has set this field or removed that of the caller if the deployment has workspaces with keys.
+    request.workspace = names.workspace.empty() ? std::string() : std::string(headers.find(names.workspace));
     return request;
 }
 
--- a/src/relay/relayrequest.h
+++ b/src/relay/relayrequest.h
@@ -23,6 +23,8 @@
     bool isInner = false;
     // An earlier attempt at this request, or at the request on whose behalf it is sent, reached or may still reach an instance.
     bool isRetry = false;
+    // Workspace of the caller's request for which the chain of calls is made; empty if there is none.
+    std::string workspace;
     // Priority of the caller's request for which the chain of calls is made; 0 is the most urgent.
     unsigned priority = 0;
     Duration targetLatency{0};
--- a/src/relay/servinggateway.cpp
+++ b/src/relay/servinggateway.cpp
@@ -183,8 +183,11 @@
     extra.add(names.callerService, call.request.callerService);
     call.running = true;
     call.startTime = m_parts.clock.now();
-    m_parts.runningRequests.onRequestStarted(
-        requestId(call.request), {.route = call.request.route, .priority = call.request.priority, .isRetry = call.request.isRetry});
+    m_parts.runningRequests.onRequestStarted(requestId(call.request),
+                                             {.route = call.request.route,
+                                              .priority = call.request.priority,
+                                              .isRetry = call.request.isRetry,
+                                              .workspace = call.request.workspace});
     call.exchange = m_server.send(call.request.http, std::move(extra),
                                   [this, id](tl::expected<HttpResponse, ExchangeError> result) { onServerResult(id, std::move(result)); });
 }
@@ -312,12 +315,17 @@
 
 void ServingGateway::updateSlots(std::string_view load)
 {
-    const std::size_t comma = load.rfind(',');
-    unsigned slots = 0;
-    if (comma == std::string_view::npos) {
-        return;
+    // Backend servers report the requests that they run and those that wait before their slots, and possibly their speed after them.
+    constexpr std::size_t SlotsPosition = 2;
+    for (std::size_t position = 0; position < SlotsPosition; ++position) {
+        const std::size_t comma = load.find(',');
+        if (comma == std::string_view::npos) {
+            return;
+        }
+        load.remove_prefix(comma + 1);
     }
-    const auto [end, error] = std::from_chars(load.data() + comma + 1, load.data() + load.size(), slots);
+    unsigned slots = 0;
+    const auto [end, error] = std::from_chars(load.data(), load.data() + load.size(), slots);
     if (error == std::errc() && slots > 0) {
         m_parts.queue.setSlots(slots);
     }
--- a/tests/platform/publishedvalues_test.cpp
+++ b/tests/platform/publishedvalues_test.cpp
@@ -54,6 +54,31 @@
     LONGS_EQUAL(2, read->services.size());
     DOUBLES_EQUAL(10.0, read->services[1].weight, 0.0);
     LONGS_EQUAL(1, read->maxAttempts);
+    CHECK(!read->isPublic);
+    POINTERS_EQUAL(nullptr, table->workspaces.get());
+}
+
+// Guards against workspaces that lose their keys, quota or priority on the way into the table, and against public routes that ask for a
+// key.
+TEST(PublishedValues, WorkspacesAreReadWithKeysPriorityAndQuota)
+{
+    const auto table = readConfiguration(R"({"Version":"00000001",
+      "Tenants":[{"Name":"t-1","ApiKeys":["k-1","k-2"],"Priority":1,"RatePerS":479,"Burst":40},{"Name":"t-2","ApiKeys":["k-3"]},
+                 {"Name":"t-3","ApiKeys":7},{"Name":"t-4","ApiKeys":["k-3"]}],
+      "Listeners":[{"Host":"h","Rules":[{"Name":"r","Kind":"idempotent","Public":true,"Match":{"Prefix":"/r/"},
+                                         "Action":{"Service":"s","TimeoutS":1}}]}]})");
+
+    CHECK(table.has_value());
+    const Workspace *first = table->workspaces->findByKey("k-2");
+    STRCMP_EQUAL("t-1", first->name.c_str());
+    LONGS_EQUAL(1, first->priority.value());
+    DOUBLES_EQUAL(479.0, first->ratePerSecond, 0.0);
+    DOUBLES_EQUAL(40.0, first->burst, 0.0);
+    CHECK(!table->workspaces->findByName("t-2")->priority.has_value());
+    // The malformed workspace, and the key that two workspaces hold.
+    LONGS_EQUAL(2, table->findings.size());
+    POINTERS_EQUAL(nullptr, table->workspaces->findByKey("k-3"));
+    CHECK(table->routes.find("h", "/r/1")->isPublic);
 }
 
 // Guards against a published configuration that nodes read differently from the generated one.
--- a/tests/relay/relaysetup.h
+++ b/tests/relay/relaysetup.h
@@ -25,7 +25,9 @@
             .expectedInstance = "x-expect",
             .callerService = "x-caller",
             .notExecuted = "x-not-executed",
-            .instanceLoad = "x-load"};
+            .instanceLoad = "x-load",
+            .workspace = "x-workspace",
+            .credential = "x-key"};
 }
 
 // A loopback address that no other test process uses.
--- a/tests/relay/servinggateway_test.cpp
+++ b/tests/relay/servinggateway_test.cpp
@@ -269,3 +269,37 @@
     LONGS_EQUAL(0, host.server.cancelled);
     LONGS_EQUAL(1, host.parts.queue.report().runningRequests);
 }
+
+// Guards against a server whose speed is taken for its number of slots, because it stands after them in the load field.
+TEST(ServingGateway, TheSlotsAreTheThirdFigureOfTheLoadField)
+{
+    struct Case
+    {
+        const char *load;
+        unsigned limit;
+    };
+    // 0.94 of the slots are used; a malformed field changes nothing.
+    constexpr Case Cases[] = {{"3,0,50", 47}, {"3,0,100,250", 94}, {"7", 94}, {"3,0,x,50", 94}, {"3,0,50,", 47}};
+    std::string load;
+    FakeInstance loaded(running.context, [&load](ServerExchange &exchange) {
+        HttpResponse response{.status = 200};
+        response.headers.add("x-load", load);
+        exchange.respond(std::move(response));
+    });
+    HttpClient loadedClient(running.context, {.server = loaded.address()});
+    ServingGateway loadedGateway(parts, loadedClient);
+
+    for (const Case &example : Cases) {
+        load = example.load;
+        std::promise<std::uint32_t> limit;
+        asio::post(running.context, [&] {
+            loadedGateway.serve({.http = std::make_shared<HttpRequest>(HttpRequest{.method = "GET", .target = "/read/1"}),
+                                 .instance = "i-1",
+                                 .route = "read",
+                                 .deadline = clock.now() + std::chrono::seconds(20)},
+                                [&](const AttemptOutcome &outcome) { limit.set_value(outcome.report->concurrencyLimit); });
+        });
+        LONGS_EQUAL_TEXT(example.limit, limit.get_future().get(), example.load);
+    }
+    running.stop();
+}
