Refuse keys without a recent proof of the configuration, and lend tokens of quotas

Cause: a node that has lost the store accepts a withdrawn key for as long as it likes, and nothing limits the requests of a workspace. Change, freshness: readers ask the store every 2.5 s whether there is a newer configuration and pass the time at which they asked on to the others, as a difference to the arrival of the question; KeyFreshness refuses requests with keys with 503 once the proof is older than the bound. The times are those of CLOCK_BOOTTIME. The watch of the configuration waits longer in exchange. Change, quotas: for each workspace the first node by rendezvous hashing lends tokens for 0.5 s; the second one stands in from a part of the slack, and each node alone from a smaller one, so that all of them together keep the bound in any window.

--- a/src/core/published/changesmessages.h
+++ b/src/core/published/changesmessages.h
@@ -2,6 +2,9 @@
 
 #include "core/published/publishedchange.h"
 
+#include <chrono>
+#include <optional>
+
 namespace wisteriafork {
 
 // Question of one node to another one for published changes.
@@ -36,6 +39,9 @@
     std::vector<std::uint64_t> lastChanges;
     // One update for each feed; empty if the request was for revisions only.
     std::vector<FeedUpdate> feeds;
+    // Time from the arrival of the request to the moment at which the sender last asked the source and was told that it knew the newest
+    // configuration; negative if that was before the arrival. Empty if the sender has no proof. Not part of the encoding.
+    std::optional<std::chrono::microseconds> confirmedAfterArrival;
 
     auto fields()
     {
--- a/src/core/published/publishedsync.cpp
+++ b/src/core/published/publishedsync.cpp
@@ -5,11 +5,12 @@
 
 namespace wisteriafork {
 
-PublishedSync::PublishedSync(const PublishedSyncOptions &options, std::string ownAddress, const Clock &clock, RandomEngine &random,
-                             Callbacks callbacks)
+PublishedSync::PublishedSync(const PublishedSyncOptions &options, std::string ownAddress, const Clock &clock, const Clock &proofClock,
+                             RandomEngine &random, Callbacks callbacks)
     : m_options(options)
     , m_ownAddress(std::move(ownAddress))
     , m_clock(clock)
+    , m_proofClock(proofClock)
     , m_random(random)
     , m_callbacks(std::move(callbacks))
     , m_randomPlace(std::uniform_int_distribution<std::size_t>(0, options.readersPerDomain + options.spareReadersPerDomain)(random))
@@ -67,24 +68,31 @@
         m_lastDemand = m_clock.now();
         updateReading();
     }
-    if (std::optional<ChangesResponse> response = dueResponse(request, m_clock.now())) {
-        responder(std::move(*response));
+    WaitingRequest waiting{.request = std::move(request),
+                           .responder = std::move(responder),
+                           .arrivalTime = m_clock.now(),
+                           .arrivalProofTime = m_proofClock.now(),
+                           .knownProof = m_confirmedAt};
+    if (std::optional<ChangesResponse> response = dueResponse(waiting)) {
+        waiting.responder(std::move(*response));
     } else {
-        m_waiting.push_back({.request = std::move(request), .responder = std::move(responder), .arrivalTime = m_clock.now()});
+        m_waiting.push_back(std::move(waiting));
     }
 }
 
-std::optional<ChangesResponse> PublishedSync::dueResponse(const ChangesRequest &request, TimePoint arrivalTime) const
+std::optional<ChangesResponse> PublishedSync::dueResponse(const WaitingRequest &waiting) const
 {
-    const Duration waited = m_clock.now() - arrivalTime;
+    const ChangesRequest &request = waiting.request;
+    const Duration waited = m_clock.now() - waiting.arrivalTime;
     const bool waitedForContact = !hasOwnContact() && waited >= m_options.firstContactTime;
     const bool sourceLost = !m_serving || (request.asReader && (isFailing() || waitedForContact));
+    const bool hasNews = hasNewsFor(request) || m_confirmedAt > waiting.knownProof;
     const bool waitsOn
-        = request.asReader && !sourceLost && !hasNewsFor(request) && (!hasOwnContact() || (request.mayWait && waited < m_options.pollTime));
+        = request.asReader && !sourceLost && !hasNews && (!hasOwnContact() || (request.mayWait && waited < m_options.pollTime));
     if (waitsOn) {
         return std::nullopt;
     }
-    ChangesResponse response = responseTo(request);
+    ChangesResponse response = responseTo(waiting);
     response.sourceLost = sourceLost;
     return response;
 }
@@ -100,9 +108,13 @@
     return false;
 }
 
-ChangesResponse PublishedSync::responseTo(const ChangesRequest &request) const
+ChangesResponse PublishedSync::responseTo(const WaitingRequest &waiting) const
 {
+    const ChangesRequest &request = waiting.request;
     ChangesResponse response;
+    if (m_confirmedAt) {
+        response.confirmedAfterArrival = std::chrono::floor<std::chrono::microseconds>(*m_confirmedAt - waiting.arrivalProofTime);
+    }
     response.holdRemovalsMs
         = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(m_callbacks.removalHoldTime()).count());
     response.lastChanges = lastChanges();
@@ -116,7 +128,7 @@
 {
     std::vector<std::pair<Responder, ChangesResponse>> due;
     for (auto waiting = m_waiting.begin(); waiting != m_waiting.end();) {
-        if (std::optional<ChangesResponse> response = dueResponse(waiting->request, waiting->arrivalTime)) {
+        if (std::optional<ChangesResponse> response = dueResponse(*waiting)) {
             due.emplace_back(std::move(waiting->responder), std::move(*response));
             waiting = m_waiting.erase(waiting);
         } else {
@@ -157,15 +169,16 @@
     }
     m_fetchPending = true;
     m_fetchSentAt = now;
-    m_callbacks.sendRequest(address, {.knownRevisions = knownRevisions()}, [this](std::optional<ChangesResponse> response) {
-        m_fetchPending = false;
-        if (response) {
-            applyResponse(std::move(*response));
-        }
-        // If something is still missing, the next message of a node that has it says so.
-        m_behindSince.reset();
-        m_aheadRevisions = {};
-    });
+    m_callbacks.sendRequest(address, {.knownRevisions = knownRevisions()},
+                            [this, askedAt = m_proofClock.now()](std::optional<ChangesResponse> response) {
+                                m_fetchPending = false;
+                                if (response) {
+                                    applyResponse(std::move(*response), askedAt);
+                                }
+                                // If something is still missing, the next message of a node that has it says so.
+                                m_behindSince.reset();
+                                m_aheadRevisions = {};
+                            });
 }
 
 void PublishedSync::catchUp()
@@ -179,7 +192,7 @@
     }
 }
 
-void PublishedSync::applyResponse(ChangesResponse response)
+void PublishedSync::applyResponse(ChangesResponse response, TimePoint askedAt)
 {
     if (response.holdRemovalsMs > 0) {
         m_callbacks.onRemovalsHeld(std::chrono::milliseconds(response.holdRemovalsMs));
@@ -188,6 +201,45 @@
     for (std::size_t index = 0; index < FeedCount; ++index) {
         reportChanges(static_cast<FeedId>(index), m_feeds[index].merge(std::move(response.feeds[index])));
     }
+    adoptProof(response, askedAt);
+}
+
+void PublishedSync::adoptProof(const ChangesResponse &response, TimePoint askedAt)
+{
+    constexpr auto Index = static_cast<std::size_t>(FeedId::Configuration);
+    const bool knowsConfiguration
+        = response.lastChanges.size() > Index && m_feeds[Index].lastChangeRevision() >= response.lastChanges[Index];
+    // The request arrived after it was sent, so this time is never later than the one that was confirmed, whatever the delay and the
+    // clocks.
+    if (response.confirmedAfterArrival && knowsConfiguration) {
+        recordProof(askedAt + *response.confirmedAfterArrival);
+    }
+}
+
+void PublishedSync::onSourceConfirmed(TimePoint askedAt)
+{
+    m_confirmedBySource = askedAt;
+    recordProof(askedAt);
+}
+
+void PublishedSync::recordProof(TimePoint confirmedAt)
+{
+    if (m_options.confirmationInterval > Duration(0) && (!m_confirmedAt || *m_confirmedAt < confirmedAt)) {
+        m_confirmedAt = confirmedAt;
+        m_callbacks.onConfirmed(confirmedAt);
+        respondToWaiting();
+    }
+}
+
+void PublishedSync::confirmIfDue()
+{
+    const TimePoint now = m_clock.now();
+    const bool isRecent = m_confirmedBySource && m_proofClock.now() - *m_confirmedBySource < m_options.confirmationInterval;
+    if (m_options.confirmationInterval > Duration(0) && m_reading && !isRecent
+        && now - m_lastConfirmationRequest >= m_options.confirmationRetryInterval) {
+        m_lastConfirmationRequest = now;
+        m_callbacks.confirmSource();
+    }
 }
 
 std::vector<std::uint64_t> PublishedSync::knownRevisions() const
@@ -374,6 +426,7 @@
     Reader &reader = m_readers[address];
     reader.pollPending = true;
     reader.pollSentAt = m_clock.now();
+    reader.pollProofTime = m_proofClock.now();
     reader.requestNumber = ++m_lastRequestNumber;
     const ChangesRequest request{.knownRevisions = knownRevisions(),
                                  .asReader = true,
@@ -392,11 +445,12 @@
     }
     Reader &reader = found->second;
     reader.pollPending = false;
+    const TimePoint askedAt = reader.pollProofTime;
     if (!response || response->sourceLost) {
         m_lastLossReport = response ? m_clock.now() : m_lastLossReport;
         pauseReader(address, reader, response ? ReaderState::SourceLost : ReaderState::Silent);
         if (response) {
-            applyResponse(std::move(*response));
+            applyResponse(std::move(*response), askedAt);
         }
         updateCoverage();
         return;
@@ -408,8 +462,9 @@
     updateCoverage();
     if (response->feeds.empty()) {
         onRevisionsSeen(address, response->lastChanges);
+        adoptProof(*response, askedAt);
     } else {
-        applyResponse(std::move(*response));
+        applyResponse(std::move(*response), askedAt);
     }
     pollReaders();
 }
@@ -437,6 +492,7 @@
         m_callbacks.readCandidates();
     }
     catchUp();
+    confirmIfDue();
     respondToWaiting();
 }
 
--- a/src/core/published/publishedsync.h
+++ b/src/core/published/publishedsync.h
@@ -70,6 +70,10 @@
     Duration candidateReadInterval = std::chrono::milliseconds(500);
     // Time for which a request may wait until this node, which has just become a reader, has its first contact to the source.
     Duration firstContactTime = std::chrono::seconds(1);
+    // Age of the proof that the configuration is the newest one, after which a reader asks the source for another one. 0: no proofs.
+    Duration confirmationInterval{0};
+    // Time after which a request for a proof is repeated if it was not answered.
+    Duration confirmationRetryInterval = std::chrono::milliseconds(500);
 };
 
 // Keeps the published state of a node up to date while only a few nodes of each failure domain read the source. Every node chooses the
@@ -106,11 +110,17 @@
         std::function<void(Duration time)> onRemovalsHeld;
         // Time for which this node holds removals back.
         std::function<Duration()> removalHoldTime;
+        // Asks the source at once whether there is a newer configuration; `onSourceConfirmed` follows. Used only with a confirmation
+        // interval.
+        std::function<void()> confirmSource = nullptr;
+        // The known configuration was the newest one at this time of the proof clock. Used only with a confirmation interval.
+        std::function<void(TimePoint confirmedAt)> onConfirmed = nullptr;
     };
 
-    // `clock` and `random` must outlive the object. All callbacks must be set.
-    PublishedSync(const PublishedSyncOptions &options, std::string ownAddress, const Clock &clock, RandomEngine &random,
-                  Callbacks callbacks);
+    // `clock`, `proofClock` and `random` must outlive the object. All callbacks must be set, unless they say otherwise. `proofClock` gives
+    // the times of proofs and must count the time for which the host is suspended.
+    PublishedSync(const PublishedSyncOptions &options, std::string ownAddress, const Clock &clock, const Clock &proofClock,
+                  RandomEngine &random, Callbacks callbacks);
 
     // Nodes beside the listed instances of the own failure domain that are not draining, possibly with the own one.
     void setCandidates(const std::vector<ReaderCandidate> &candidates);
@@ -119,6 +129,8 @@
     void onSourceFailed(FeedId feed);
     void onSourceRead(FeedId feed, std::vector<PublishedChange> content, std::uint64_t revision);
     void onSourceChanges(FeedId feed, std::vector<PublishedChange> changes, std::uint64_t revision);
+    // The source was asked at this time of the proof clock, and all changes of the configuration up to then have been passed on.
+    void onSourceConfirmed(TimePoint askedAt);
     // Request of another node. The responder is called once, possibly later.
     void onRequest(ChangesRequest request, Responder responder);
     // The node at the address knows changes up to these revisions. If this node lacks some, it fetches them unless they arrive shortly.
@@ -148,6 +160,8 @@
     {
         bool pollPending = false;
         TimePoint pollSentAt{};
+        // The same by the proof clock.
+        TimePoint pollProofTime{};
         // The last answer showed contact to the source, and no failure has followed.
         bool confirmed = false;
         TimePoint pausedUntil{};
@@ -161,6 +175,9 @@
         ChangesRequest request;
         Responder responder;
         TimePoint arrivalTime;
+        // The same by the proof clock, and the proof of that time.
+        TimePoint arrivalProofTime;
+        std::optional<TimePoint> knownProof;
     };
 
     struct SourceState
@@ -210,18 +227,25 @@
     // Does not ask the reader for some time, because of the given state.
     void pauseReader(const std::string &address, Reader &reader, ReaderState state);
     void catchUp();
-    void applyResponse(ChangesResponse response);
+    // Applies the response to a request that was sent at this time of the proof clock.
+    void applyResponse(ChangesResponse response, TimePoint askedAt);
+    // Takes over the proof of a response if this node knows the configuration that it is about.
+    void adoptProof(const ChangesResponse &response, TimePoint askedAt);
+    void recordProof(TimePoint confirmedAt);
+    // Asks the source for a proof if the own one is too old.
+    void confirmIfDue();
     void reportChanges(FeedId feed, const std::vector<PublishedChange> &changes);
     // True if this node knows changes that the sender of the request lacks.
     bool hasNewsFor(const ChangesRequest &request) const;
-    ChangesResponse responseTo(const ChangesRequest &request) const;
+    ChangesResponse responseTo(const WaitingRequest &waiting) const;
     void respondToWaiting();
     // The response to a request that has waited since its arrival, or nothing if it has to wait on.
-    std::optional<ChangesResponse> dueResponse(const ChangesRequest &request, TimePoint arrivalTime) const;
+    std::optional<ChangesResponse> dueResponse(const WaitingRequest &waiting) const;
 
     const PublishedSyncOptions m_options;
     const std::string m_ownAddress;
     const Clock &m_clock;
+    const Clock &m_proofClock;
     RandomEngine &m_random;
     const Callbacks m_callbacks;
     std::array<PublishedFeed, FeedCount> m_feeds;
@@ -252,6 +276,10 @@
     std::array<std::uint64_t, FeedCount> m_aheadRevisions{};
     bool m_fetchPending = false;
     TimePoint m_fetchSentAt{};
+    // Latest time of the proof clock at which the known configuration was the newest one, and the latest that the source itself confirmed.
+    std::optional<TimePoint> m_confirmedAt;
+    std::optional<TimePoint> m_confirmedBySource;
+    TimePoint m_lastConfirmationRequest{};
     std::uint64_t m_lastRequestNumber = 0;
 };
 
--- a/src/core/relay/instancedirectory.cpp
+++ b/src/core/relay/instancedirectory.cpp
@@ -41,6 +41,7 @@
 
 void InstanceDirectory::storeEntry(Instance instance)
 {
+    ++m_changeCount;
     if (const Instance *known = find(instance.id); known != nullptr && known->service == instance.service) {
         forgetAddress(*known);
         auto &list = m_instancesByService[instance.service];
@@ -216,6 +217,7 @@
     if (known == m_serviceById.end()) {
         return;
     }
+    ++m_changeCount;
     auto &list = m_instancesByService[known->second];
     const auto entry = std::ranges::find(list, id, &Instance::id);
     forgetAddress(*entry);
--- a/src/core/relay/instancedirectory.h
+++ b/src/core/relay/instancedirectory.h
@@ -67,6 +67,11 @@
     // Number of instances.
     std::size_t size() const;
     std::vector<Instance> allInstances() const;
+    // Increases with each change of an entry.
+    std::uint64_t changeCount() const
+    {
+        return m_changeCount;
+    }
 
 private:
     // Inserts or replaces an entry under its id, without its address.
@@ -94,6 +99,7 @@
     // Ids of removed instances, with the time of the removal.
     std::unordered_map<std::string, TimePoint> m_removedAt;
     std::unordered_set<ServiceId> m_services;
+    std::uint64_t m_changeCount = 0;
     bool m_sourceIsLost = false;
     TimePoint m_lastReadTime{};
     TimePoint m_holdUntil{};
--- a/src/observability/eventnumber.h
+++ b/src/observability/eventnumber.h
@@ -46,6 +46,8 @@
     SourceReaderChanged = 1013,
     ServerCallOverdue = 1014,
     SentRequestRefused = 1015,
+    // Quotas of workspaces
+    QuotaLenderSilent = 1100,
 };
 
 } // namespace wisteriafork
--- a/src/relay/peergateway.cpp
+++ b/src/relay/peergateway.cpp
@@ -68,12 +68,28 @@
                  });
 }
 
-void PeerGateway::requestChanges(const std::string &address, std::string request, std::function<void(std::optional<std::string>)> handler)
+void PeerGateway::requestChanges(const std::string &address, std::string request, std::function<void(std::optional<ChangesText>)> handler)
 {
     HttpHeaders fields;
     fields.add(":path", ChangesPath);
     auto http = std::make_shared<HttpRequest>();
     http->body = std::move(request);
+    m_peers.send(address, std::move(http), std::move(fields),
+                 [handler = std::move(handler)](tl::expected<HttpResponse, ExchangeError> result) {
+                     if (result && result->status == 200) {
+                         handler(ChangesText{.body = std::move(result->body), .details = std::string(result->headers.find(DetailsField))});
+                     } else {
+                         handler(std::nullopt);
+                     }
+                 });
+}
+
+void PeerGateway::askForQuota(const std::string &address, std::string request, std::function<void(std::optional<std::string>)> handler)
+{
+    HttpHeaders fields;
+    fields.add(":path", QuotaPath);
+    auto http = std::make_shared<HttpRequest>();
+    http->body = std::move(request);
     m_peers.send(address, std::move(http), std::move(fields),
                  [handler = std::move(handler)](tl::expected<HttpResponse, ExchangeError> result) {
                      handler(result && result->status == 200 ? std::optional(std::move(result->body)) : std::nullopt);
--- a/src/relay/peergateway.h
+++ b/src/relay/peergateway.h
@@ -3,6 +3,7 @@
 #include "net/peeroptions.h"
 #include "net/peersender.h"
 #include "relay/attemptoutcome.h"
+#include "relay/changestext.h"
 #include "relay/relayparts.h"
 #include "relay/relayrequest.h"
 
@@ -25,7 +26,9 @@
     // Fetches the published state as the node at `address` knows it. The handler gets an empty optional if the node does not provide it.
     void fetchSnapshot(const std::string &address, std::function<void(std::optional<std::string>)> handler);
     // Asks the node at `address` for published changes. The handler is called once, with nothing if there is no answer.
-    void requestChanges(const std::string &address, std::string request, std::function<void(std::optional<std::string>)> handler);
+    void requestChanges(const std::string &address, std::string request, std::function<void(std::optional<ChangesText>)> handler);
+    // Asks the node at `address` for tokens of workspaces. The handler is called once, with nothing if there is no answer.
+    void askForQuota(const std::string &address, std::string request, std::function<void(std::optional<std::string>)> handler);
     // Sends reports on requests that are suspected of crashing backend servers to a node. Errors are ignored, because the node that
     // found a suspect repeats its reports.
     void sendSuspects(const std::string &address, const std::string &encodedSuspects);
@@ -39,6 +42,8 @@
 constexpr const char *SnapshotPath = "/published";
 // Path at which nodes ask each other for published changes.
 constexpr const char *ChangesPath = "/changes";
+// Path at which nodes ask each other for tokens of workspaces with a quota.
+constexpr const char *QuotaPath = "/quota";
 // Path at which nodes receive reports on requests that are suspected of crashing backend servers.
 constexpr const char *SuspectsPath = "/suspects";
 
--- a/src/relay/peerhandler.cpp
+++ b/src/relay/peerhandler.cpp
@@ -6,9 +6,13 @@
 
 namespace wisteriafork {
 
-PeerHandler::PeerHandler(RelayParts &parts, ServingGateway &serving, std::function<std::string()> snapshot,
-                         std::function<void(const std::string &, std::function<void(std::string)>)> onChangesRequested)
-    : m_parts(parts), m_serving(serving), m_snapshot(std::move(snapshot)), m_onChangesRequested(std::move(onChangesRequested))
+PeerHandler::PeerHandler(RelayParts &parts, ServingGateway &serving, QuotaGateway &quotas, std::function<std::string()> snapshot,
+                         std::function<void(const std::string &, std::function<void(ChangesText)>)> onChangesRequested)
+    : m_parts(parts)
+    , m_serving(serving)
+    , m_quotas(quotas)
+    , m_snapshot(std::move(snapshot))
+    , m_onChangesRequested(std::move(onChangesRequested))
 {
 }
 
@@ -19,8 +23,23 @@
         return;
     }
     if (exchange->request->target == ChangesPath && m_onChangesRequested) {
-        m_onChangesRequested(exchange->request->body,
-                             [exchange](std::string response) { exchange->respond({.status = 200, .body = std::move(response)}); });
+        m_onChangesRequested(exchange->request->body, [exchange](ChangesText text) {
+            HttpResponse response{.status = 200, .body = std::move(text.body)};
+            if (!text.details.empty()) {
+                response.headers.add(DetailsField, std::move(text.details));
+            }
+            exchange->respond(std::move(response));
+        });
+        return;
+    }
+    if (exchange->request->target == QuotaPath) {
+        std::string response = m_quotas.answer(exchange->request->body);
+        if (response.empty()) {
+            m_parts.log.write(EventNumber::MessageMalformed, {exchange->remoteAddress, "the question for tokens is malformed"});
+            exchange->respond({.status = 400});
+        } else {
+            exchange->respond({.status = 200, .body = std::move(response)});
+        }
         return;
     }
     if (exchange->request->target == SuspectsPath) {
--- a/src/relay/peerhandler.h
+++ b/src/relay/peerhandler.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "net/serverexchange.h"
+#include "relay/changestext.h"
+#include "relay/quotagateway.h"
 #include "relay/relayparts.h"
 #include "relay/servinggateway.h"
 
@@ -15,8 +17,8 @@
 public:
     // `snapshot` returns the published state as this node knows it, encoded for other nodes.
     // `onChangesRequested` handles requests for published changes; null if the deployment has none.
-    PeerHandler(RelayParts &parts, ServingGateway &serving, std::function<std::string()> snapshot,
-                std::function<void(const std::string &, std::function<void(std::string)>)> onChangesRequested);
+    PeerHandler(RelayParts &parts, ServingGateway &serving, QuotaGateway &quotas, std::function<std::string()> snapshot,
+                std::function<void(const std::string &, std::function<void(ChangesText)>)> onChangesRequested);
 
     void handleRequest(std::shared_ptr<ServerExchange> exchange) override;
     void handleCancellation(ServerExchange &exchange) override;
@@ -24,8 +26,9 @@
 private:
     RelayParts &m_parts;
     ServingGateway &m_serving;
+    QuotaGateway &m_quotas;
     const std::function<std::string()> m_snapshot;
-    const std::function<void(const std::string &, std::function<void(std::string)>)> m_onChangesRequested;
+    const std::function<void(const std::string &, std::function<void(ChangesText)>)> m_onChangesRequested;
 };
 
 } // namespace wisteriafork
--- a/src/relay/relaycall.h
+++ b/src/relay/relaycall.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/admission/verdict.h"
 #include "net/serverexchange.h"
 #include "relay/attemptoutcome.h"
 #include "relay/attemptsender.h"
@@ -50,8 +51,19 @@
 
     // Sets the route and the deadline. False if there is no route; the request already has its response then.
     bool findRoute();
-    // False if the request was refused because of overload.
-    bool admitOrRefuse();
+    // Runs the checks that come before the first attempt, and then sends the request. Stops at a check that is pending; call again to
+    // repeat that check.
+    void runChecks();
+    // The checks, in the order in which they are made.
+    Verdict checkWorkspace();
+    Verdict checkFreshness();
+    Verdict checkQuota();
+    Verdict checkCrashGuard();
+    Verdict checkAdmission();
+    // Turns a verdict into the response, the log event and the metric of a refusal. True if the next check follows.
+    bool applyVerdict(const Verdict &verdict);
+    // Chooses the service and sends the request for the first time.
+    void sendFirstAttempt();
     // Sends the request to the best instance that was not tried, or to a tried one if the route allows no further instances. False if there
     // is none.
     bool sendToNextInstance();
@@ -71,8 +83,8 @@
     bool hasOpenAttempt() const;
     // Responds when no further attempt is possible: with the failure of an instance, a refusal, 504 or 502, depending on the attempts.
     void respondWithOutcome();
-    // Responds with status 503. `event` names the reason in the body and the log.
-    void refuse(RefusalReason reason, const char *event);
+    // Responds with the status of the refusal, for load unless it says otherwise.
+    void refuse(const Refuse &refusal);
     void refuseUnconfigured();
     // Passes on the response of a backend server; `counter` is `Succeeded` or `FailedByServer`.
     void relayResponse(HttpResponse response, RelayCounter counter);
@@ -101,6 +113,15 @@
     ServiceId m_service;
     // The request comes from the local backend server, on behalf of a request that it runs.
     bool m_isInnerCall = false;
+    // Route of the request for which the local backend server makes this call; empty for the request of a caller.
+    std::string m_parentRoute;
+    // Workspace of the caller's request for which the chain of calls is made; empty if there is none.
+    std::string m_workspace;
+    // Verdict on the quota that came after the answer of the lender.
+    std::optional<Verdict> m_quotaVerdict;
+    bool m_holdsQuotaToken = false;
+    // Number of checks that the request has passed.
+    std::size_t m_passedChecks = 0;
     // Priority of the caller's request for which the chain of calls is made; 0 is the most urgent.
     unsigned m_priority = 0;
     // The request that the backend server runs was itself a retry, so this call repeats an earlier one.
--- a/src/relay/relaymetrics.cpp
+++ b/src/relay/relaymetrics.cpp
@@ -10,9 +10,28 @@
 namespace {
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(RelayCounter::Count)> CounterNames{
-    "caller_requests", "inner_calls",      "succeeded",         "failed_by_server", "refused_at_entry", "refused_later",
-    "no_instance",     "timed_out",        "outcome_unknown",   "no_route",         "caller_gone",      "repeats",
-    "hedges",          "served_for_peers", "refused_for_peers", "overdue",
+    "caller_requests",
+    "inner_calls",
+    "succeeded",
+    "failed_by_server",
+    "refused_at_entry",
+    "refused_later",
+    "no_instance",
+    "timed_out",
+    "outcome_unknown",
+    "no_route",
+    "caller_gone",
+    "repeats",
+    "hedges",
+    "served_for_peers",
+    "refused_for_peers",
+    "overdue",
+    "unknown_key",
+    "stale_configuration",
+    "over_quota",
+    "quota_questions",
+    "quota_standby_questions",
+    "quota_lender_silent",
 };
 
 template <typename Histogram>
--- a/src/relay/relaymetrics.h
+++ b/src/relay/relaymetrics.h
@@ -28,6 +28,12 @@
     ServedForPeers,
     RefusedForPeers,
     Overdue,
+    UnknownKey,
+    StaleConfiguration,
+    OverQuota,
+    QuotaQuestions,
+    QuotaStandbyQuestions,
+    QuotaLenderSilent,
     Count,
 };
 
--- a/src/relay/relaynode.cpp
+++ b/src/relay/relaynode.cpp
@@ -28,17 +28,19 @@
         : parts(context, std::move(settings), clock, log)
         , servingGateway(parts, server)
         , peerGateway(parts, peerSender)
+        , quotaGateway(parts, peerGateway)
         , instanceGateway(parts, servingGateway, peerGateway)
         , callerRequestHandler(parts, instanceGateway)
-        , peerRequestHandler(parts, servingGateway, std::move(callbacks.snapshot), std::move(callbacks.onChangesRequested))
+        , peerRequestHandler(parts, servingGateway, quotaGateway, std::move(callbacks.snapshot), std::move(callbacks.onChangesRequested))
         , onSnapshotReceived(std::move(callbacks.onSnapshotReceived))
     {
-        parts.ownPeerAddress = endpointText(parts.settings.peerEndpoint);
+        parts.quotas = &quotaGateway;
         parts.onNewerVersionSeen = [this](const std::string &peer) {
             requestSnapshot(peer);
         };
         parts.onRevisionsSeen = std::move(callbacks.onRevisionsSeen);
         parts.observer = callbacks.observer;
+        parts.keyFreshness = callbacks.keyFreshness;
     }
 
     void sendSuspectReports()
@@ -101,6 +103,7 @@
     RelayParts parts;
     ServingGateway servingGateway;
     PeerGateway peerGateway;
+    QuotaGateway quotaGateway;
     InstanceGateway instanceGateway;
     CallerHandler callerRequestHandler;
     PeerHandler peerRequestHandler;
@@ -132,6 +135,7 @@
 {
     m_impl->callerRequestHandler.pollCalls();
     m_impl->servingGateway.pollQueue();
+    m_impl->quotaGateway.poll();
 }
 
 void RelayNode::tick()
@@ -139,6 +143,7 @@
     m_impl->parts.directory.tick();
     m_impl->parts.retryBudget.setNodeCount(m_impl->parts.directory.size());
     m_impl->servingGateway.tick();
+    m_impl->quotaGateway.tick();
     m_impl->sendSuspectReports();
     m_impl->logLoad();
     if (const Instance *own = m_impl->parts.directory.findByAddress(endpointText(m_impl->parts.settings.serverEndpoint))) {
@@ -146,7 +151,7 @@
     }
 }
 
-bool RelayNode::applyRoutes(RouteTable table)
+bool RelayNode::applyRoutes(RouteTable table, std::shared_ptr<const WorkspaceTable> workspaces)
 {
     const std::uint64_t inForce = configurationVersion();
     if (m_impl->parts.routes && table.version() <= inForce) {
@@ -165,6 +170,8 @@
     }
     m_impl->parts.directory.setServices(std::move(services));
     m_impl->parts.routes = std::make_shared<const RouteTable>(std::move(table));
+    m_impl->parts.workspaces = std::move(workspaces);
+    m_impl->quotaGateway.applyWorkspaces();
     return true;
 }
 
@@ -200,6 +207,7 @@
     if (!std::exchange(m_impl->instanceSourceLost, true)) {
         m_impl->parts.log.write(EventNumber::SourceLost, {reason});
         m_impl->parts.directory.onSourceLost(lastAnswer);
+        m_impl->quotaGateway.onSourceLost(lastAnswer);
     }
 }
 
@@ -208,6 +216,7 @@
     if (std::exchange(m_impl->instanceSourceLost, false)) {
         m_impl->parts.log.write(EventNumber::SourceRestored, {});
         m_impl->parts.directory.onSourceRestored();
+        m_impl->quotaGateway.onSourceRestored();
     }
 }
 
@@ -226,7 +235,7 @@
     m_impl->requestSnapshot(peerAddress);
 }
 
-void RelayNode::requestChanges(const std::string &peerAddress, std::string request, std::function<void(std::optional<std::string>)> handler)
+void RelayNode::requestChanges(const std::string &peerAddress, std::string request, std::function<void(std::optional<ChangesText>)> handler)
 {
     m_impl->peerGateway.requestChanges(peerAddress, std::move(request), std::move(handler));
 }
--- a/src/relay/relaynode.h
+++ b/src/relay/relaynode.h
@@ -2,9 +2,12 @@
 
 #include "core/relay/instance.h"
 #include "core/relay/routetable.h"
+#include "core/workspace/keyfreshness.h"
+#include "core/workspace/workspacetable.h"
 #include "net/peersender.h"
 #include "net/requestsender.h"
 #include "net/serverexchange.h"
+#include "relay/changestext.h"
 #include "relay/relayobserver.h"
 #include "relay/relaysettings.h"
 
@@ -33,11 +36,13 @@
         std::function<void(const std::string &peerAddress, const std::string &snapshot)> onSnapshotReceived;
         // Called with the request of another node for published changes; `respond` is called once with the response, possibly later. May be
         // null if the deployment has no such requests.
-        std::function<void(const std::string &request, std::function<void(std::string response)> respond)> onChangesRequested = nullptr;
+        std::function<void(const std::string &request, std::function<void(ChangesText response)> respond)> onChangesRequested = nullptr;
         // Called with the revisions that another node adds to its messages; may be null.
         std::function<void(const std::string &peerAddress, const std::string &revisions)> onRevisionsSeen = nullptr;
         // Notified about the requests of callers; may be null.
         RelayObserver *observer = nullptr;
+        // Decides whether the configuration is recent enough for requests with keys; null if the deployment does not ask for that.
+        const KeyFreshness *keyFreshness = nullptr;
     };
 
     // `server` sends to the local backend server, `peers` to other nodes. All arguments passed by reference must outlive the object.
@@ -54,8 +59,9 @@
     // Updates the measurements, and sends reports on crash suspects to other nodes. Call every 100 ms.
     void tick();
 
-    // Applies a configuration. False if its version is not newer than the one in force; it is then ignored.
-    bool applyRoutes(RouteTable table);
+    // Applies a configuration. False if its version is not newer than the one in force; it is then ignored. `workspaces` is null if callers
+    // need no keys.
+    bool applyRoutes(RouteTable table, std::shared_ptr<const WorkspaceTable> workspaces = nullptr);
     // Version of the configuration in force, 0 if there is none.
     std::uint64_t configurationVersion() const;
     // Adds an instance, or replaces the one with the same id.
@@ -77,7 +83,7 @@
     void requestSnapshot(const std::string &peerAddress);
 
     // Asks another node for published changes. The handler is called once with its response, or with nothing if there is none.
-    void requestChanges(const std::string &peerAddress, std::string request, std::function<void(std::optional<std::string>)> handler);
+    void requestChanges(const std::string &peerAddress, std::string request, std::function<void(std::optional<ChangesText>)> handler);
     // Sets the text with the revisions of the published state that this node adds to its messages to other nodes; none while it is empty.
     void setPublishedRevisions(std::string revisions);
 
--- a/src/relay/relayparts.h
+++ b/src/relay/relayparts.h
@@ -12,7 +12,10 @@
 #include "core/relay/runningrequests.h"
 #include "core/relay/servingqueue.h"
 #include "core/relay/weightedsplit.h"
+#include "core/workspace/keyfreshness.h"
+#include "core/workspace/workspacetable.h"
 #include "net/asio.h"
+#include "net/endpoint.h"
 #include "relay/relaylog.h"
 #include "relay/relaymetrics.h"
 #include "relay/relayobserver.h"
@@ -25,6 +28,8 @@
 
 namespace wisteriafork {
 
+class QuotaGateway;
+
 // Decision components and tables of one relay, shared by its request handlers. All of them run on the single thread of the relay.
 struct RelayParts
 {
@@ -41,6 +46,7 @@
         , routePressure(clock)
         , runningRequests(clock)
         , queue(settings.serving, clock)
+        , ownPeerAddress(endpointText(settings.peerEndpoint))
         , crashGuard({.self = NodeId(settings.node), .incarnation = settings.incarnation}, clock)
     {
     }
@@ -53,6 +59,10 @@
     RandomEngine random;
     // Routes of the configuration in force. Null until the first configuration is known.
     std::shared_ptr<const RouteTable> routes;
+    // Workspaces of the configuration in force. Null if callers need no keys.
+    std::shared_ptr<const WorkspaceTable> workspaces;
+    // Null if a withdrawn key may be accepted until the configuration without it arrives.
+    const KeyFreshness *keyFreshness = nullptr;
     InstanceDirectory directory;
     Placement placement;
     RetryBudget retryBudget;
@@ -60,13 +70,15 @@
     RoutePressure routePressure;
     RunningRequests runningRequests;
     ServingQueue queue;
+    // Address of this node for other nodes.
+    std::string ownPeerAddress;
     CrashGuard crashGuard;
+    // Quotas of workspaces; null in tests of single handlers.
+    QuotaGateway *quotas = nullptr;
     WeightedSplit split;
     RouteOutcomes routeOutcomes;
     // Notified about the requests of callers; may be null.
     RelayObserver *observer = nullptr;
-    // Address of this node for other nodes.
-    std::string ownPeerAddress;
     // Revisions of the published state that this node knows, for other nodes; empty if the deployment has none.
     std::string publishedRevisions;
     // Called with the revisions that the node at the given address knows; may be null.
--- a/src/relay/relaysettings.h
+++ b/src/relay/relaysettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/base/ids.h"
+#include "core/quota/quotabounds.h"
 #include "core/relay/edgeadmission.h"
 #include "core/relay/instancedirectory.h"
 #include "core/relay/placement.h"
@@ -49,6 +50,7 @@
     EdgeAdmissionOptions admission;
     InstanceDirectoryOptions directory;
     PlacementOptions placement;
+    QuotaBounds quotas;
     RetryBudgetOptions retries;
     ServingQueueOptions serving;
 };
--- a/tests/platform/storewatch_test.cpp
+++ b/tests/platform/storewatch_test.cpp
@@ -3,6 +3,7 @@
 #include <string>
 #include <vector>
 
+#include "core/base/manualclock.h"
 #include "fakestore.h"
 #include "platform/storewatch.h"
 
@@ -33,7 +34,8 @@
     std::uint64_t lastRevision = 0;
     unsigned failureCount = 0;
     unsigned successCount = 0;
-    StoreWatch watch{context, client, "servers/", makeHandler(), random};
+    ManualClock clock;
+    StoreWatch watch{context, client, "servers/", makeHandler(), clock, random};
 
     StoreWatchHandler makeHandler()
     {
--- a/tests/published/publishedsync_test.cpp
+++ b/tests/published/publishedsync_test.cpp
@@ -247,6 +247,68 @@
     checkNoneStale(fleet, {}, "restart");
 }
 
+// Guards against proofs that come too late for requests with keys although the source answers, also after the loss of readers, and against
+// calls to the source that grow with the nodes.
+TEST(PublishedSync, EveryNodeKeepsARecentProofThatItsConfigurationIsTheNewest)
+{
+    SyncFleet fleet({.sync = {.confirmationInterval = 2500ms}});
+    fleet.start();
+    fleet.time.runFor(10s);
+    const unsigned before = fleet.calls;
+    Duration oldest{0};
+    for (int step = 0; step < 300; ++step) {
+        fleet.time.runFor(100ms);
+        oldest = std::max(oldest, fleet.oldestProof());
+    }
+    // The interval, the steps of the clock, and the way to the node.
+    CHECK_TEXT(oldest <= 2800ms, std::to_string(oldest.count()).c_str());
+    // One call a second of each of the 12 readers, for both watches and the proofs.
+    CHECK(fleet.calls - before <= 30 * 12);
+
+    for (const unsigned reader : fleet.readers()) {
+        fleet.killNode(reader);
+        fleet.time.runFor(2s);
+        CHECK(fleet.oldestProof() <= 5s);
+    }
+    LONGS_EQUAL(0, fleet.falseProofs);
+}
+
+// Guards against a node that accepts a withdrawn key for too long, because its proof names a time at which it did not know the newest
+// configuration.
+TEST(PublishedSync, AProofNeverNamesATimeAtWhichANewerConfigurationWasUnknown)
+{
+    for (std::uint64_t seed = 1; seed <= 15; ++seed) {
+        std::mt19937_64 random(seed);
+        SyncFleet fleet({.nodes = 60, .seed = seed, .sync = {.confirmationInterval = 2500ms}});
+        fleet.start();
+        fleet.time.runFor(8s);
+        for (int step = 0; step < 60; ++step) {
+            const unsigned victim = static_cast<unsigned>(random() % fleet.nodeCount());
+            switch (random() % 6) {
+            case 0:
+                fleet.freezeNode(victim, std::chrono::milliseconds(random() % 6000));
+                break;
+            case 1:
+                fleet.setAccess(victim, static_cast<SimulatedSource::State>(random() % 3));
+                break;
+            case 2:
+                fleet.cutOff(victim, random() % 2 == 0, random() % 2 == 0);
+                break;
+            case 3:
+                fleet.source.state = static_cast<SimulatedSource::State>(random() % 3);
+                break;
+            case 4:
+                fleet.source.forgetHistory();
+                break;
+            default:
+                fleet.source.put(FeedId::Configuration, "configuration", std::to_string(step));
+            }
+            fleet.time.runFor(std::chrono::milliseconds(random() % 800));
+        }
+        LONGS_EQUAL_TEXT(0, fleet.falseProofs, ("seed " + std::to_string(seed)).c_str());
+    }
+}
+
 // Guards against violations under random combinations of faults: a change is known everywhere within its bound after the last fault,
 // versions never go back and removed keys never return.
 TEST(PublishedSync, TheFleetRecoversFromRandomFaults)
--- a/tests/published/simulatedsource.h
+++ b/tests/published/simulatedsource.h
@@ -145,11 +145,22 @@
         return m_content[static_cast<std::size_t>(feed)];
     }
 
+    // Revision of the last change of the feed before this time; 0 if there is none.
+    std::uint64_t lastChangeBefore(FeedId feed, TimePoint time) const
+    {
+        std::uint64_t last = 0;
+        for (const auto &[changeTime, changeRevision] : m_changeTimes[static_cast<std::size_t>(feed)]) {
+            last = changeTime < time ? changeRevision : last;
+        }
+        return last;
+    }
+
     State state = State::Up;
 
 private:
     void record(FeedId feed, const PublishedChange &change)
     {
+        m_changeTimes[static_cast<std::size_t>(feed)].emplace_back(m_time.clock.now(), change.revision);
         m_history[static_cast<std::size_t>(feed)].push_back(change);
         for (const auto &respond : std::exchange(m_waiting[static_cast<std::size_t>(feed)], {})) {
             respond();
@@ -162,6 +173,7 @@
     std::array<std::map<std::string, PublishedChange>, FeedCount> m_content;
     std::array<std::vector<PublishedChange>, FeedCount> m_history;
     std::array<std::vector<std::function<void()>>, FeedCount> m_waiting;
+    std::array<std::vector<std::pair<TimePoint, std::uint64_t>>, FeedCount> m_changeTimes;
 };
 
 } // namespace wisteriafork
--- a/tests/published/syncfleet.h
+++ b/tests/published/syncfleet.h
@@ -62,7 +62,7 @@
         node.applied = {};
         node.removedAt.clear();
         node.sync.reset();
-        node.sync = std::make_unique<PublishedSync>(m_options.sync, addressOf(number), time.clock, m_random, callbacksOf(node));
+        node.sync = std::make_unique<PublishedSync>(m_options.sync, addressOf(number), time.clock, time.clock, m_random, callbacksOf(node));
         repeat(node, std::chrono::milliseconds(100), [&node] { node.sync->tick(); });
         if (m_options.messagesPerSecond > 0) {
             repeat(node, fromSecondsOf(1.0 / m_options.messagesPerSecond), [this, &node] { sendMessage(node); });
@@ -138,6 +138,16 @@
         return nodes;
     }
 
+    // Greatest age of the proof of a running node that its configuration is the newest one; nodes without one count from the start.
+    Duration oldestProof() const
+    {
+        Duration oldest{0};
+        for (const auto &node : m_nodes) {
+            oldest = node->sync ? std::max<Duration>(oldest, time.clock.now() - node->confirmedAt) : oldest;
+        }
+        return oldest;
+    }
+
     unsigned nodeCount() const
     {
         return m_options.nodes;
@@ -156,6 +166,8 @@
     unsigned mostCallsPerSecond = 0;
     // Keys that returned after their removal, and versions that went back.
     unsigned regressions = 0;
+    // Proofs of nodes that did not know the configuration of the time that the proof names.
+    unsigned falseProofs = 0;
 
 private:
     static constexpr auto CallTime = std::chrono::milliseconds(5);
@@ -176,6 +188,7 @@
         bool losesReceived = false;
         unsigned readingRun = 0;
         unsigned failures = 0;
+        TimePoint confirmedAt{};
         std::array<std::map<std::string, PublishedChange>, FeedCount> applied;
         std::map<std::string, std::uint64_t> removedAt;
     };
@@ -279,9 +292,39 @@
         callbacks.removalHoldTime = [] {
             return Duration(0);
         };
+        callbacks.confirmSource = [this, &node] {
+            confirmSource(node);
+        };
+        callbacks.onConfirmed = [this, &node](TimePoint confirmedAt) {
+            node.confirmedAt = confirmedAt;
+            const std::uint64_t known = node.sync->feed(FeedId::Configuration).lastChangeRevision();
+            falseProofs += known < source.lastChangeBefore(FeedId::Configuration, confirmedAt) ? 1 : 0;
+        };
         return callbacks;
     }
 
+    // A watch of the configuration that does not wait.
+    void confirmSource(Node &node)
+    {
+        countCall();
+        if (accessOf(node) != SimulatedSource::State::Up) {
+            return;
+        }
+        const std::uint64_t known = node.sync->feed(FeedId::Configuration).completeRevision();
+        source.watch(FeedId::Configuration, known, Duration(0),
+                     [this, &node, askedAt = time.clock.now(), process = node.process](const SimulatedSource::Result &result) {
+                         time.after(CallTime, [this, &node, askedAt, process, result] {
+                             runIn(node, process, [&node, askedAt, result] {
+                                 if (!result.historyLost) {
+                                     node.sync->onSourceContact(FeedId::Configuration);
+                                     node.sync->onSourceChanges(FeedId::Configuration, result.changes, result.revision);
+                                     node.sync->onSourceConfirmed(askedAt);
+                                 }
+                             });
+                         });
+                     });
+    }
+
     // Number of a node from its address or the key of its instance.
     static unsigned numberOf(const std::string &name)
     {
@@ -389,6 +432,13 @@
         mostCallsPerSecond = std::max(mostCallsPerSecond, static_cast<unsigned>(m_callTimes.size()));
     }
 
+    // Readers that ask for proofs let the watch of the configuration wait longer.
+    Duration watchTime(FeedId feed)
+    {
+        const bool isLong = feed == FeedId::Configuration && m_options.sync.confirmationInterval > Duration(0);
+        return isLong ? randomTime(8000, 12000) : randomTime(3000, 4000);
+    }
+
     // Reads or watches one feed of the source, and goes on until the run ends.
     void follow(Node &node, unsigned run, FeedId feed, bool readWhole, Duration wait)
     {
@@ -412,8 +462,9 @@
                 }
             });
         };
-        const auto succeed = [this, &node, run, feed, process, next, readWhole](const SimulatedSource::Result &result) {
-            runIn(node, process, [this, &node, run, feed, next, readWhole, result] {
+        const auto succeed = [this, &node, run, feed, process, next, readWhole,
+                              askedAt = time.clock.now()](const SimulatedSource::Result &result) {
+            runIn(node, process, [this, &node, run, feed, next, readWhole, askedAt, result] {
                 if (node.readingRun != run) {
                     return;
                 }
@@ -428,8 +479,10 @@
                 } else {
                     node.sync->onSourceChanges(feed, result.changes, result.revision);
                 }
-                next(result.changes.empty() || readWhole ? Duration(0) : Duration(std::chrono::milliseconds(500)), false,
-                     randomTime(3000, 4000));
+                if (feed == FeedId::Configuration) {
+                    node.sync->onSourceConfirmed(askedAt);
+                }
+                next(result.changes.empty() || readWhole ? Duration(0) : Duration(std::chrono::milliseconds(500)), false, watchTime(feed));
             });
         };
         switch (accessOf(node)) {
