Prove that a response without length was closed in order, and reject a status below 100

Cause: a response without length ends with its connection. A status of 000 or 099 counted as an interim response and the request waited until its time-out. Change: the end of the input counts as an orderly close only if the whole request was written without an error. A status below 100 is malformed. Tests: HttpClient.AResponseWithoutLengthIsNotCompleteIfAResetEndsTheUpload (0, 20 and 200 ms) and AMalformedHeadIsNoResponse failed before and pass now; the other heads of the second one were rejected before.

--- a/src/net/httpclientconnection.cpp
+++ b/src/net/httpclientconnection.cpp
@@ -173,6 +173,7 @@
     m_foreignResponses = 0;
     m_head = requestHead(*m_job->request, m_job->extra, m_host);
     m_writing = true;
+    m_writeFailed = false;
     const std::array<asio::const_buffer, 2> buffers{asio::buffer(m_head), asio::buffer(m_job->request->body)};
     asio::async_write(m_socket, buffers, [self = shared_from_this(), request = m_job->request](const ErrorCode &error, std::size_t) {
         self->m_writing = false;
@@ -180,6 +181,7 @@
             error ? self->close() : self->becomeIdle(self->m_idleTimeAfterRest);
         } else if (error && self->m_phase == Phase::Running) {
             // The server may have sent a response before it closed the connection, so the result depends on what can be read.
+            self->m_writeFailed = true;
             self->waitForInput();
         }
     });
@@ -197,7 +199,7 @@
     if (m_phase == Phase::Closed) {
         return;
     }
-    if (input.empty() && m_phase == Phase::Running && m_socketInput.isAtEof() && m_reader.finishAtEof() && isResponseToCurrentRequest()) {
+    if (input.empty() && m_phase == Phase::Running && wasClosedInOrder() && m_reader.finishAtEof() && isResponseToCurrentRequest()) {
         onResponseComplete(true);
         return;
     }
@@ -209,6 +211,11 @@
     waitForInput();
 }
 
+bool HttpClientConnection::wasClosedInOrder() const
+{
+    return m_socketInput.isAtEof() && !m_writing && !m_writeFailed;
+}
+
 void HttpClientConnection::parseInput(std::string_view input)
 {
     std::string joined;
--- a/src/net/httpclientconnection.h
+++ b/src/net/httpclientconnection.h
@@ -96,6 +96,9 @@
     void sendRequest();
     void waitForInput();
     void onInputReceived(std::string_view input);
+    // True if the end of the input shows that the server has sent everything. The system reports a reset only once: if a write has taken
+    // the error, or may take it, the end of the input looks the same after a reset.
+    bool wasClosedInOrder() const;
     void parseInput(std::string_view input);
     // False if the echoed header field shows that the response belongs to an earlier request.
     bool isResponseToCurrentRequest() const;
@@ -136,6 +139,8 @@
     std::chrono::milliseconds m_idleTimeAfterRest{0};
     Phase m_phase = Phase::New;
     bool m_writing = false;
+    // The request in progress could not be sent completely.
+    bool m_writeFailed = false;
 };
 
 } // namespace wisteriafork
--- a/src/net/responsereader.cpp
+++ b/src/net/responsereader.cpp
@@ -17,6 +17,8 @@
 
 // Interim responses (1xx) that are skipped before a response.
 constexpr unsigned MaxInterimResponses = 16;
+// Lowest status that the protocol defines.
+constexpr unsigned FirstStatus = 100;
 
 bool isDigit(char c)
 {
@@ -118,6 +120,9 @@
             return State::Malformed;
         }
         const unsigned status = m_impl->parser->get().result_int();
+        if (status < FirstStatus) {
+            return State::Malformed;
+        }
         if (status < 200 && status != 101) {
             if (++m_impl->interimResponses > MaxInterimResponses) {
                 return State::Malformed;
--- a/src/net/responsereader.h
+++ b/src/net/responsereader.h
@@ -10,8 +10,8 @@
 namespace wisteriafork {
 
 // Incremental parser for the HTTP/1.1 responses of one connection. Interim responses (1xx) are skipped. A close-delimited response, which
-// has neither a length nor chunked coding, is malformed unless allowed, because it is hard to distinguish from a truncated one. A header
-// that is made of two, because a server broke off one response and went on with the next, is malformed.
+// has neither a length nor chunked coding, is malformed unless allowed, because it is hard to distinguish from a truncated one. A status
+// below 100 is malformed. A header that is made of two, because a server broke off one response and went on with the next, is malformed.
 class ResponseReader
 {
 public:
--- a/tests/net/httpclient_test.cpp
+++ b/tests/net/httpclient_test.cpp
@@ -193,6 +193,56 @@
     LONGS_EQUAL(0, budget->usedBytes());
 }
 
+// Guards against a part of a response without length that passes as complete: the server resets the connection while the request is still
+// being written, the write takes the error, and the read sees an ordinary end.
+TEST(HttpClient, AResponseWithoutLengthIsNotCompleteIfAResetEndsTheUpload)
+{
+    for (const auto delay : {0ms, 20ms, 200ms}) {
+        RawServer server([delay](Tcp::socket &socket, unsigned) {
+            RawServer::readHeader(socket);
+            RawServer::send(socket, "HTTP/1.1 200 OK\r\nx-id: 1\r\n\r\npart ");
+            std::this_thread::sleep_for(delay);
+            socket.set_option(asio::socket_base::linger(true, 0));
+            socket.close();
+        });
+        HttpClient client(running.context, optionsFor(server));
+
+        CHECK(errorOf(send(client, std::string(std::size_t{4} * 1024 * 1024, 'u'))) == ExchangeError::Interrupted);
+    }
+}
+
+// Guards against a malformed status line or header that is skipped as an interim response until the time-out, or passed on to a caller.
+TEST(HttpClient, AMalformedHeadIsNoResponse)
+{
+    constexpr const char *Heads[] = {
+        "HTTP/1.1 000 None\r\nx-id: 1\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 099 None\r\nx-id: 1\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 20 OK\r\nx-id: 1\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 2000 OK\r\nx-id: 1\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/3.1 200 OK\r\nx-id: 1\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nx-id: 1\r\nx a: 1\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nx-id: 1\r\nx-a : 1\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nx-id: 1\r\nx\ta: 1\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nx-id: 1\r\nx\x01: 1\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nx-id: 1\r\nx\xe4: 1\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nx-id: 1\r\n: 1\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nx-id: 1\r\nno colon\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nx-id: 1\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nx-id: 1\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+    };
+    for (const char *head : Heads) {
+        RawServer server([head](Tcp::socket &socket, unsigned) {
+            RawServer::readHeader(socket);
+            RawServer::send(socket, head);
+            // The client closes the connection.
+            RawServer::readBytes(socket, 1);
+        });
+        HttpClient client(running.context, optionsFor(server));
+
+        CHECK_TEXT(errorOf(send(client)) == ExchangeError::MalformedResponse, head);
+    }
+}
+
 // Guards against a response that broke off halfway and is passed on as complete, with and without a length and in chunks.
 TEST(HttpClient, AResponseThatBreaksOffIsNeverComplete)
 {
