--- a/src/core/quota/quotaborrower.cpp
+++ b/src/core/quota/quotaborrower.cpp
@@ -146,7 +146,7 @@
         }
         return;
     }
-    decideWaiting(account, 0);
+    decideWaiting(account, false);
 }
 
 void QuotaBorrower::onAskFailed(const std::string &workspace, Account &account)
@@ -159,34 +159,22 @@
     const TimePoint now = m_clock.now();
     account.nextRoom = now + m_options.unreachablePause;
     account.refusedUntil = now + m_options.maxRefusalTime;
-    decideWaiting(account, account.split->localRequests(m_ranking.placeOf(m_ownAddress, workspace), m_ranking.nodeCount()));
+    const std::size_t localRequests = account.split->localRequests(m_ranking.placeOf(m_ownAddress, workspace), m_ranking.nodeCount());
+    if (!account.localAllowance) {
+        account.localAllowance.emplace(localRequests, m_bounds.window, m_startTime);
+    }
+    account.localAllowance->setLimit(localRequests);
+    decideWaiting(account, true);
 }
 
-void QuotaBorrower::decideWaiting(Account &account, std::size_t localRequests)
+void QuotaBorrower::decideWaiting(Account &account, bool mayAdmitLocally)
 {
     for (const Resume &resume : std::exchange(account.waiting, {})) {
-        const bool admitted = takeToken(account) || admitLocally(account, localRequests);
+        const bool admitted = takeToken(account) || (mayAdmitLocally && account.localAllowance->take(1, m_clock.now()) > 0);
         resume(admitted ? Verdict(Admit{}) : refusal(account));
     }
 }
 
-bool QuotaBorrower::admitLocally(Account &account, std::size_t localRequests)
-{
-    const TimePoint now = m_clock.now();
-    // The process may have admitted its part before it was restarted.
-    if (now - m_startTime < m_bounds.window) {
-        return false;
-    }
-    while (!account.localAdmissions.empty() && now - account.localAdmissions.front() >= m_bounds.window) {
-        account.localAdmissions.pop_front();
-    }
-    if (account.localAdmissions.size() >= localRequests) {
-        return false;
-    }
-    account.localAdmissions.push_back(now);
-    return true;
-}
-
 Verdict QuotaBorrower::refusal(const Account &account) const
 {
     const Duration wait = std::max<Duration>(MinRetryAfter, account.nextRoom - m_clock.now());
--- a/src/core/quota/quotaborrower.h
+++ b/src/core/quota/quotaborrower.h
@@ -4,6 +4,7 @@
 #include "core/quota/lenderranking.h"
 #include "core/quota/quotabounds.h"
 #include "core/quota/quotamessages.h"
+#include "core/quota/windowallowance.h"
 #include "core/workspace/workspacetable.h"
 
 #include <deque>
@@ -72,9 +73,9 @@
         // Requests within the last seconds, as a moving sum.
         double recentRequests = 0.0;
         TimePoint lastRequest{};
-        // Times of the requests that the node admitted by itself.
-        std::deque<TimePoint> localAdmissions;
         std::optional<QuotaSplit> split;
+        // Requests that the node may admit by itself.
+        std::optional<WindowAllowance> localAllowance;
     };
 
     bool takeToken(Account &account);
@@ -84,9 +85,7 @@
     // Asks the next one, or decides with what the node may admit by itself.
     void onAskFailed(const std::string &workspace, Account &account);
     // Calls the waiting requests: those for which there is a token are admitted, the others are refused.
-    // A node may admit up to `localRequests` in any window by itself.
-    void decideWaiting(Account &account, std::size_t localRequests);
-    bool admitLocally(Account &account, std::size_t localRequests);
+    void decideWaiting(Account &account, bool mayAdmitLocally);
     Verdict refusal(const Account &account) const;
     std::uint32_t tokensWanted(const Account &account) const;
     bool isPaused(const std::string &address) const;
--- a/src/core/quota/quotabounds.h
+++ b/src/core/quota/quotabounds.h
@@ -15,12 +15,18 @@
     double overrunShare = 0.25;
     double slackRequests = 20.0;
     // Time for which a lent token may be used, counted by the borrower from its question.
-    Duration tokenLifetime = std::chrono::milliseconds(500);
+    Duration tokenLifetime = std::chrono::milliseconds(300);
     // Time for which nodes that have contact to the source of the list may disagree about the lender.
     Duration listSkew = std::chrono::milliseconds(500);
     // Time without contact to the source after which a lender no longer lends from its bucket, because others may have replaced it. An
     // entry of the list expires after 4.5 s without heartbeats.
     Duration maxLendingWithoutSource = std::chrono::seconds(4);
+
+    // Time in which tokens are lent that can be used in one window.
+    Duration lendingTime() const
+    {
+        return window + tokenLifetime;
+    }
 };
 
 // Token bucket parameters: tokens per second, and the most that it holds.
@@ -43,25 +49,17 @@
         return m_lender;
     }
 
-    BucketSize standby() const
-    {
-        return m_standby;
-    }
-
-    // For a lender without contact to the source.
-    BucketSize isolatedLender() const
-    {
-        return m_isolatedLender;
-    }
-
+    // Requests in any time of `lendingTime` for which the standby may lend tokens.
+    std::size_t standbyRequests() const;
+    // The same for a lender without contact to the source.
+    std::size_t isolatedRequests() const;
     // Requests that the node at this place in the ranking of `nodes` may admit in any window without asking.
     std::size_t localRequests(std::size_t place, std::size_t nodes) const;
 
 private:
     BucketSize m_lender;
-    BucketSize m_standby;
-    BucketSize m_isolatedLender;
-    double m_localRequests = 0.0;
+    // Requests in a window that the bound allows beyond what the lender lends.
+    double m_requestsBeyond = 0.0;
 };
 
 } // namespace wisteriafork
--- a/src/core/quota/quotalender.cpp
+++ b/src/core/quota/quotalender.cpp
@@ -43,25 +43,39 @@
         if (workspace.ratePerSecond > 0.0) {
             const QuotaSplit split(workspace, m_bounds);
             const LenderRanking::Places &places = ranking.placesOf(workspace.name);
-            updateRole(m_lenderRoles, workspace, places.lender == m_ownAddress, split.lender(), split.isolatedLender());
-            updateRole(m_standbyRoles, workspace, places.standby == m_ownAddress, split.standby(), {});
+            updateLenderRole(workspace, split, places.lender == m_ownAddress);
+            updateStandbyRole(workspace, split, places.standby == m_ownAddress);
         }
     }
 }
 
-void QuotaLender::updateRole(Roles &roles, const Workspace &workspace, bool hasRole, const BucketSize &size, const BucketSize &isolatedSize)
+void QuotaLender::updateLenderRole(const Workspace &workspace, const QuotaSplit &split, bool hasRole)
 {
-    const TimePoint now = m_clock.now();
     if (!hasRole) {
-        roles.erase(workspace.name);
+        m_lenderRoles.erase(workspace.name);
         return;
     }
-    const auto [role, added] = roles.try_emplace(
-        workspace.name, Role{.since = now, .bucket = TokenBucket(size, now), .isolatedBucket = TokenBucket(isolatedSize, now)});
+    const TimePoint now = m_clock.now();
+    const auto [role, added] = m_lenderRoles.try_emplace(
+        workspace.name,
+        LenderRole{.since = now,
+                   .bucket = TokenBucket(split.lender(), now),
+                   .isolatedAllowance = WindowAllowance(split.isolatedRequests(), m_bounds.lendingTime(), now)});
     if (!added) {
-        role->second.bucket.resize(size, now);
-        role->second.isolatedBucket.resize(isolatedSize, now);
+        role->second.bucket.resize(split.lender(), now);
+        role->second.isolatedAllowance.setLimit(split.isolatedRequests());
+    }
+}
+
+void QuotaLender::updateStandbyRole(const Workspace &workspace, const QuotaSplit &split, bool hasRole)
+{
+    if (!hasRole) {
+        m_standbyRoles.erase(workspace.name);
+        return;
     }
+    const auto [role, added]
+        = m_standbyRoles.try_emplace(workspace.name, WindowAllowance(split.standbyRequests(), m_bounds.lendingTime(), m_clock.now()));
+    role->second.setLimit(split.standbyRequests());
 }
 
 void QuotaLender::onSourceLost(TimePoint lastContact)
@@ -83,39 +97,52 @@
 {
     QuotaResponse response;
     for (const QuotaAsk &ask : request.asks) {
-        response.grants.push_back(lend(ask));
+        response.grants.push_back(ask.asStandby ? lendAsStandby(ask) : lendAsLender(ask));
     }
     return response;
 }
 
-QuotaGrant QuotaLender::lend(const QuotaAsk &ask)
+QuotaGrant QuotaLender::grantFrom(WindowAllowance &allowance, const QuotaAsk &ask) const
 {
-    Roles &roles = ask.asStandby ? m_standbyRoles : m_lenderRoles;
-    const auto found = roles.find(ask.workspace);
-    QuotaGrant grant{.workspace = ask.workspace};
-    if (found == roles.end()) {
-        return grant;
+    const TimePoint now = m_clock.now();
+    QuotaGrant grant{.workspace = ask.workspace, .lends = true, .tokens = allowance.take(ask.waiting, now)};
+    if (grant.tokens < ask.waiting) {
+        grant.retryAfterMs = static_cast<std::uint64_t>(std::chrono::ceil<std::chrono::milliseconds>(allowance.timeUntilNext(now)).count());
+    }
+    return grant;
+}
+
+QuotaGrant QuotaLender::lendAsStandby(const QuotaAsk &ask)
+{
+    const auto found = m_standbyRoles.find(ask.workspace);
+    return found == m_standbyRoles.end() ? QuotaGrant{.workspace = ask.workspace} : grantFrom(found->second, ask);
+}
+
+QuotaGrant QuotaLender::lendAsLender(const QuotaAsk &ask)
+{
+    const auto found = m_lenderRoles.find(ask.workspace);
+    if (found == m_lenderRoles.end()) {
+        return {.workspace = ask.workspace};
+    }
+    LenderRole &role = found->second;
+    if (isIsolated()) {
+        return grantFrom(role.isolatedAllowance, ask);
     }
     const TimePoint now = m_clock.now();
-    Role &role = found->second;
-    TokenBucket &bucket = !ask.asStandby && isIsolated() ? role.isolatedBucket : role.bucket;
+    QuotaGrant grant{.workspace = ask.workspace};
     // Tokens beyond those that are needed at once are lent only from a bucket that is well filled, so that none expire while others wait.
     const unsigned spare = ask.wanted > ask.waiting ? ask.wanted - ask.waiting : 0;
-    const bool isWellFilled = bucket.balance(now) >= 2.0 * (ask.waiting + spare);
-    grant.tokens = bucket.take(ask.waiting + (isWellFilled ? spare : 0), now);
-    if (grant.tokens >= ask.waiting) {
-        grant.lends = true;
-        return grant;
-    }
-    if (grant.tokens == 0 && now - role.since < SettlingTime) {
+    const bool isWellFilled = role.bucket.balance(now) >= 2.0 * (ask.waiting + spare);
+    grant.tokens = role.bucket.take(ask.waiting + (isWellFilled ? spare : 0), now);
+    grant.lends = grant.tokens > 0 || now - role.since >= SettlingTime;
+    if (grant.tokens >= ask.waiting || !grant.lends) {
         return grant;
     }
-    grant.lends = true;
     const double decay = std::exp(-toSeconds(now - role.lastRefusal) / toSeconds(RefusalDecayTime));
     role.refusedRequests = role.refusedRequests * decay + (ask.waiting - grant.tokens);
     role.lastRefusal = now;
     // Those that were refused shortly before come back earlier.
-    const Duration wait = std::min<Duration>(MaxRetryAfter, bucket.timeUntil(role.refusedRequests, now));
+    const Duration wait = std::min<Duration>(MaxRetryAfter, role.bucket.timeUntil(role.refusedRequests, now));
     grant.retryAfterMs = static_cast<std::uint64_t>(std::chrono::ceil<std::chrono::milliseconds>(wait).count());
     return grant;
 }
--- a/src/core/quota/quotalender.h
+++ b/src/core/quota/quotalender.h
@@ -3,6 +3,7 @@
 #include "core/quota/lenderranking.h"
 #include "core/quota/quotamessages.h"
 #include "core/quota/tokenbucket.h"
+#include "core/quota/windowallowance.h"
 #include "core/workspace/workspacetable.h"
 
 #include <memory>
@@ -12,8 +13,8 @@
 
 namespace wisteriafork {
 
-// Lends tokens of the workspaces for which this node is the lender or the standby by its own list. Every bucket starts empty when the node
-// takes the role, so that a restart or a change of the list admits nothing twice. A lender without contact to the source of the list goes
+// Lends tokens of the workspaces for which this node is the lender or the standby by its own list. A role begins without tokens, so that a
+// restart or a change of the list admits nothing twice. A lender without contact to the source of the list goes
 // on for a time and then lends a small part only, because others may have replaced it. Answers the load of workspaces that send more than
 // their quota over many nodes. Not thread safe.
 class QuotaLender
@@ -32,29 +33,31 @@
     QuotaResponse lend(const QuotaRequest &request);
 
 private:
-    struct Role
+    struct LenderRole
     {
         TimePoint since;
         TokenBucket bucket;
-        // For a lender without contact to the source.
-        TokenBucket isolatedBucket;
+        // Used instead of the bucket without contact to the source.
+        WindowAllowance isolatedAllowance;
         // Requests that got no token, as a moving sum over about a second.
         double refusedRequests = 0.0;
         TimePoint lastRefusal;
     };
 
-    using Roles = std::unordered_map<std::string, Role>;
-
-    void updateRole(Roles &roles, const Workspace &workspace, bool hasRole, const BucketSize &size, const BucketSize &isolatedSize);
-    QuotaGrant lend(const QuotaAsk &ask);
+    void updateLenderRole(const Workspace &workspace, const QuotaSplit &split, bool hasRole);
+    void updateStandbyRole(const Workspace &workspace, const QuotaSplit &split, bool hasRole);
+    QuotaGrant lendAsLender(const QuotaAsk &ask);
+    QuotaGrant lendAsStandby(const QuotaAsk &ask);
+    // Grants what the allowance permits, and tells when there is more.
+    QuotaGrant grantFrom(WindowAllowance &allowance, const QuotaAsk &ask) const;
     bool isIsolated() const;
 
     const QuotaBounds m_bounds;
     const std::string m_ownAddress;
     const Clock &m_clock;
     std::shared_ptr<const WorkspaceTable> m_workspaces;
-    Roles m_lenderRoles;
-    Roles m_standbyRoles;
+    std::unordered_map<std::string, LenderRole> m_lenderRoles;
+    std::unordered_map<std::string, WindowAllowance> m_standbyRoles;
     std::optional<TimePoint> m_sourceLostSince;
 };
 
