--- a/src/core/published/changesmessages.h
+++ b/src/core/published/changesmessages.h
@@ -18,6 +18,8 @@
     bool mayWait = false;
     // The response needs no changes, only the revisions.
     bool revisionsOnly = false;
+    // Eras of the revisions, one for each feed; empty if all are 0. Not part of the encoding.
+    std::vector<std::uint64_t> eras;
 
     auto fields()
     {
@@ -42,6 +44,8 @@
     // Time from the arrival of the request to the moment at which the sender last asked the source and was told that it knew the newest
     // configuration; negative if that was before the arrival. Empty if the sender has no proof. Not part of the encoding.
     std::optional<std::chrono::microseconds> confirmedAfterArrival;
+    // Eras of the revisions, one for each feed; empty if all are 0. Not part of the encoding.
+    std::vector<std::uint64_t> eras;
 
     auto fields()
     {
@@ -53,4 +57,10 @@
     }
 };
 
+// Era of the feed with this index, in the lists of the messages above.
+inline std::uint64_t eraIn(const std::vector<std::uint64_t> &eras, std::size_t index)
+{
+    return index < eras.size() ? eras[index] : 0;
+}
+
 } // namespace wisteriafork
--- a/src/core/published/publishedfeed.cpp
+++ b/src/core/published/publishedfeed.cpp
@@ -27,7 +27,7 @@
     }
     for (PublishedChange &item : content) {
         const auto known = m_content.find(item.key);
-        if (known == m_content.end() || known->second.revision < item.revision) {
+        if (known == m_content.end() ? !isRemovedInFormerEra(item) : known->second.revision < item.revision) {
             differences.push_back(std::move(item));
         }
     }
@@ -110,10 +110,64 @@
     return items;
 }
 
+std::vector<PublishedChange> PublishedFeed::beginEra(std::uint64_t era, std::vector<PublishedChange> content, std::uint64_t revision,
+                                                     const ReplacePolicy &mayReplace)
+{
+    if (era <= m_era) {
+        return {};
+    }
+    std::vector<PublishedChange> differences;
+    std::map<std::string, PublishedChange> taken;
+    for (PublishedChange &copied : content) {
+        const auto known = m_content.find(copied.key);
+        const bool wasRemoved = known == m_content.end() && std::ranges::find(m_removedKeys, copied.key) != m_removedKeys.end();
+        const PublishedChange former = known != m_content.end() ? known->second : PublishedChange{.key = copied.key, .removed = wasRemoved};
+        if (known == m_content.end() && !wasRemoved) {
+            differences.push_back(copied);
+        } else if (wasRemoved && !mayReplace(former, copied)) {
+            continue;
+        } else if (wasRemoved || (former.value != copied.value && mayReplace(former, copied))) {
+            differences.push_back(copied);
+        } else {
+            copied.value = former.value;
+        }
+        taken.insert_or_assign(copied.key, std::move(copied));
+    }
+    for (const auto &[key, item] : m_content) {
+        if (!taken.contains(key)) {
+            differences.push_back({.key = key, .revision = revision, .removed = true});
+            rememberRemoval(key);
+        }
+    }
+    m_content = std::move(taken);
+    m_remembered.clear();
+    m_era = era;
+    m_eraRevision = revision;
+    m_rememberedFrom = revision;
+    m_completeRevision = revision;
+    m_lastChangeRevision = revision;
+    return differences;
+}
+
+bool PublishedFeed::isRemovedInFormerEra(const PublishedChange &item) const
+{
+    return m_era > 0 && item.revision <= m_eraRevision && std::ranges::find(m_removedKeys, item.key) != m_removedKeys.end();
+}
+
+void PublishedFeed::rememberRemoval(const std::string &key)
+{
+    m_removedKeys.push_back(key);
+    if (m_removedKeys.size() > m_maxRememberedChanges) {
+        m_removedKeys.pop_front();
+    }
+}
+
 void PublishedFeed::remember(const PublishedChange &change)
 {
     if (change.removed) {
-        m_content.erase(change.key);
+        if (m_content.erase(change.key) > 0) {
+            rememberRemoval(change.key);
+        }
     } else {
         m_content.insert_or_assign(change.key, change);
     }
--- a/src/core/published/publishedsync.cpp
+++ b/src/core/published/publishedsync.cpp
@@ -1,6 +1,7 @@
 #include "core/published/publishedsync.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace wisteriafork {
@@ -43,8 +44,15 @@
     respondToWaiting();
 }
 
-void PublishedSync::onSourceRead(FeedId feed, std::vector<PublishedChange> content, std::uint64_t revision)
+void PublishedSync::onSourceRead(FeedId feed, std::vector<PublishedChange> content, std::uint64_t revision, std::uint64_t era)
 {
+    if (era > mutableFeed(feed).era()) {
+        beginEra(feed, era, std::move(content), revision);
+        return;
+    }
+    if (era < mutableFeed(feed).era()) {
+        return;
+    }
     reportChanges(feed, mutableFeed(feed).replaceAll(std::move(content), revision));
 }
 
@@ -53,6 +61,22 @@
     reportChanges(feed, mutableFeed(feed).applyChanges(std::move(changes), revision));
 }
 
+void PublishedSync::beginEra(FeedId feed, std::uint64_t era, std::vector<PublishedChange> content, std::uint64_t revision)
+{
+    const bool isFirstContent = mutableFeed(feed).completeRevision() == 0;
+    const PublishedFeed::ReplacePolicy keepKnown = [](const PublishedChange &, const PublishedChange &) {
+        return false;
+    };
+    if (!isFirstContent) {
+        m_callbacks.onRemovalsHeld(m_options.restoredRemovalHold);
+    }
+    reportChanges(
+        feed, mutableFeed(feed).beginEra(era, std::move(content), revision, m_callbacks.mayReplace ? m_callbacks.mayReplace : keepKnown));
+    // What others were seen to know, and what the source confirmed, was about the former era.
+    m_aheadRevisions[static_cast<std::size_t>(feed)] = 0;
+    m_behindSince.reset();
+}
+
 void PublishedSync::reportChanges(FeedId feed, const std::vector<PublishedChange> &changes)
 {
     if (!changes.empty()) {
@@ -100,6 +124,13 @@
 bool PublishedSync::hasNewsFor(const ChangesRequest &request) const
 {
     for (std::size_t index = 0; index < FeedCount; ++index) {
+        const std::uint64_t requestEra = eraIn(request.eras, index);
+        if (requestEra < m_feeds[index].era()) {
+            return true;
+        }
+        if (requestEra > m_feeds[index].era()) {
+            continue;
+        }
         const std::uint64_t known = request.knownRevisions[index];
         if (m_feeds[index].completeRevision() > known && m_feeds[index].lastChangeRevision() > known) {
             return true;
@@ -118,8 +149,11 @@
     response.holdRemovalsMs
         = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(m_callbacks.removalHoldTime()).count());
     response.lastChanges = lastChanges();
+    response.eras = eras();
     for (std::size_t index = 0; index < FeedCount && !request.revisionsOnly; ++index) {
-        response.feeds.push_back(m_feeds[index].updateSince(request.knownRevisions[index]));
+        // A node of another era gets everything.
+        response.feeds.push_back(
+            m_feeds[index].updateSince(eraIn(request.eras, index) == m_feeds[index].era() ? request.knownRevisions[index] : 0));
     }
     return response;
 }
@@ -140,11 +174,21 @@
     }
 }
 
-void PublishedSync::onRevisionsSeen(const std::string &address, std::span<const std::uint64_t> lastChanges)
+void PublishedSync::onRevisionsSeen(const std::string &address, std::span<const std::uint64_t> revisions)
 {
-    for (std::size_t index = 0; index < std::min(FeedCount, lastChanges.size()); ++index) {
-        m_aheadRevisions[index] = std::max(m_aheadRevisions[index], lastChanges[index]);
-        if (lastChanges[index] > m_feeds[index].completeRevision()) {
+    for (std::size_t index = 0; index < std::min(FeedCount, revisions.size()); ++index) {
+        const std::uint64_t seenEra = revisions.size() >= 2 * FeedCount ? revisions[FeedCount + index] : 0;
+        if (seenEra < m_feeds[index].era()) {
+            continue;
+        }
+        if (seenEra > m_feeds[index].era()) {
+            m_aheadEras[index] = std::max(m_aheadEras[index], seenEra);
+            m_aheadAddress = address;
+            m_behindSince = m_behindSince.value_or(m_clock.now());
+            continue;
+        }
+        m_aheadRevisions[index] = std::max(m_aheadRevisions[index], revisions[index]);
+        if (revisions[index] > m_feeds[index].completeRevision()) {
             m_aheadAddress = address;
             m_behindSince = m_behindSince.value_or(m_clock.now());
         }
@@ -154,7 +198,7 @@
 bool PublishedSync::isBehind() const
 {
     for (std::size_t index = 0; index < FeedCount; ++index) {
-        if (m_aheadRevisions[index] > m_feeds[index].completeRevision()) {
+        if (m_aheadEras[index] > m_feeds[index].era() || m_aheadRevisions[index] > m_feeds[index].completeRevision()) {
             return true;
         }
     }
@@ -169,7 +213,7 @@
     }
     m_fetchPending = true;
     m_fetchSentAt = now;
-    m_callbacks.sendRequest(address, {.knownRevisions = knownRevisions()},
+    m_callbacks.sendRequest(address, {.knownRevisions = knownRevisions(), .eras = eras()},
                             [this, askedAt = m_proofClock.now()](std::optional<ChangesResponse> response) {
                                 m_fetchPending = false;
                                 if (response) {
@@ -178,6 +222,7 @@
                                 // If something is still missing, the next message of a node that has it says so.
                                 m_behindSince.reset();
                                 m_aheadRevisions = {};
+                                m_aheadEras = {};
                             });
 }
 
@@ -199,7 +244,13 @@
     }
     response.feeds.resize(FeedCount);
     for (std::size_t index = 0; index < FeedCount; ++index) {
-        reportChanges(static_cast<FeedId>(index), m_feeds[index].merge(std::move(response.feeds[index])));
+        FeedUpdate &update = response.feeds[index];
+        const auto feed = static_cast<FeedId>(index);
+        if (eraIn(response.eras, index) > m_feeds[index].era() && update.whole && update.to > 0) {
+            beginEra(feed, eraIn(response.eras, index), std::move(update.changes), update.to);
+        } else if (eraIn(response.eras, index) == m_feeds[index].era()) {
+            reportChanges(feed, m_feeds[index].merge(std::move(update)));
+        }
     }
     adoptProof(response, askedAt);
 }
@@ -211,7 +262,7 @@
         = response.lastChanges.size() > Index && m_feeds[Index].lastChangeRevision() >= response.lastChanges[Index];
     // The request arrived after it was sent, so this time is never later than the one that was confirmed, whatever the delay and the
     // clocks.
-    if (response.confirmedAfterArrival && knowsConfiguration) {
+    if (response.confirmedAfterArrival && knowsConfiguration && eraIn(response.eras, Index) == m_feeds[Index].era()) {
         recordProof(askedAt + *response.confirmedAfterArrival);
     }
 }
@@ -251,6 +302,22 @@
     return revisions;
 }
 
+std::vector<std::uint64_t> PublishedSync::eras() const
+{
+    std::vector<std::uint64_t> eras;
+    for (const PublishedFeed &feed : m_feeds) {
+        eras.push_back(feed.era());
+    }
+    return std::ranges::max(eras) == 0 ? std::vector<std::uint64_t>() : eras;
+}
+
+std::vector<std::uint64_t> PublishedSync::seenRevisions() const
+{
+    std::vector<std::uint64_t> revisions = lastChanges();
+    std::ranges::copy(eras(), std::back_inserter(revisions));
+    return revisions;
+}
+
 std::vector<std::uint64_t> PublishedSync::lastChanges() const
 {
     std::vector<std::uint64_t> revisions;
@@ -431,7 +498,8 @@
     const ChangesRequest request{.knownRevisions = knownRevisions(),
                                  .asReader = true,
                                  .mayWait = reader.confirmed,
-                                 .revisionsOnly = revisionsOnly && reader.confirmed};
+                                 .revisionsOnly = revisionsOnly && reader.confirmed,
+                                 .eras = eras()};
     m_callbacks.sendRequest(address, request, [this, address, number = reader.requestNumber](std::optional<ChangesResponse> response) {
         onPollAnswered(address, number, std::move(response));
     });
@@ -461,7 +529,10 @@
     reader.pause = Duration(0);
     updateCoverage();
     if (response->feeds.empty()) {
-        onRevisionsSeen(address, response->lastChanges);
+        std::vector<std::uint64_t> revisions = response->lastChanges;
+        revisions.resize(FeedCount, 0);
+        std::ranges::copy(response->eras, std::back_inserter(revisions));
+        onRevisionsSeen(address, revisions);
         adoptProof(*response, askedAt);
     } else {
         applyResponse(std::move(*response), askedAt);
--- a/src/core/published/publishedsync.h
+++ b/src/core/published/publishedsync.h
@@ -68,6 +68,8 @@
     Duration catchUpDelay = std::chrono::milliseconds(200);
     // Interval at which a node without contact reads the list of candidates.
     Duration candidateReadInterval = std::chrono::milliseconds(500);
+    // Time for which removals are held back after the source has come back from an older copy: live instances register again meanwhile.
+    Duration restoredRemovalHold = std::chrono::milliseconds(2300);
     // Time for which a request may wait until this node, which has just become a reader, has its first contact to the source.
     Duration firstContactTime = std::chrono::seconds(1);
     // Age of the proof that the configuration is the newest one, after which a reader asks the source for another one. 0: no proofs.
@@ -106,6 +108,8 @@
         // The state can no longer be kept up to date; the last contact of the source that counts was at `lastContact`.
         std::function<void(TimePoint lastContact)> onSourceLost;
         std::function<void()> onSourceRestored;
+        // Decides whether an item of an older copy of the source replaces the known one. Without it, nothing is replaced.
+        PublishedFeed::ReplacePolicy mayReplace = nullptr;
         // Another node holds removals back for this time, because of an outage that it has noticed.
         std::function<void(Duration time)> onRemovalsHeld;
         // Time for which this node holds removals back.
@@ -127,14 +131,16 @@
     // Results of reading the source. `onSourceContact` precedes the content of a response.
     void onSourceContact(FeedId feed);
     void onSourceFailed(FeedId feed);
-    void onSourceRead(FeedId feed, std::vector<PublishedChange> content, std::uint64_t revision);
+    // `era` is greater than that of the feed if the source has come back from an older copy.
+    void onSourceRead(FeedId feed, std::vector<PublishedChange> content, std::uint64_t revision, std::uint64_t era = 0);
     void onSourceChanges(FeedId feed, std::vector<PublishedChange> changes, std::uint64_t revision);
     // The source was asked at this time of the proof clock, and all changes of the configuration up to then have been passed on.
     void onSourceConfirmed(TimePoint askedAt);
     // Request of another node. The responder is called once, possibly later.
     void onRequest(ChangesRequest request, Responder responder);
-    // The node at the address knows changes up to these revisions. If this node lacks some, it fetches them unless they arrive shortly.
-    void onRevisionsSeen(const std::string &address, std::span<const std::uint64_t> lastChanges);
+    // The node at the address knows changes up to these revisions, one for each feed, possibly followed by their eras. If this node lacks
+    // some, it fetches them unless they arrive shortly.
+    void onRevisionsSeen(const std::string &address, std::span<const std::uint64_t> revisions);
     // Fetches what this node lacks from the node at the address.
     void fetchFrom(const std::string &address);
     // Decides who is asked and whether the source is read. Call every 100 ms, and once at the start.
@@ -147,8 +153,12 @@
         return m_feeds[static_cast<std::size_t>(feed)];
     }
 
-    // Revisions of the last known changes, to be added to messages to other nodes.
+    // Revisions of the last known changes, to be added to messages to other nodes; with their eras, unless all are 0.
+    std::vector<std::uint64_t> seenRevisions() const;
+    // Revisions of the last known changes.
     std::vector<std::uint64_t> lastChanges() const;
+    // Eras of the feeds; empty if all are 0.
+    std::vector<std::uint64_t> eras() const;
     // True if this node follows the source itself.
     bool isReading() const
     {
@@ -235,6 +245,8 @@
     // Asks the source for a proof if the own one is too old.
     void confirmIfDue();
     void reportChanges(FeedId feed, const std::vector<PublishedChange> &changes);
+    // Takes over the whole content of a later era.
+    void beginEra(FeedId feed, std::uint64_t era, std::vector<PublishedChange> content, std::uint64_t revision);
     // True if this node knows changes that the sender of the request lacks.
     bool hasNewsFor(const ChangesRequest &request) const;
     ChangesResponse responseTo(const WaitingRequest &waiting) const;
@@ -274,6 +286,7 @@
     std::optional<TimePoint> m_behindSince;
     // Highest revisions that other nodes were seen to know.
     std::array<std::uint64_t, FeedCount> m_aheadRevisions{};
+    std::array<std::uint64_t, FeedCount> m_aheadEras{};
     bool m_fetchPending = false;
     TimePoint m_fetchSentAt{};
     // Latest time of the proof clock at which the known configuration was the newest one, and the latest that the source itself confirmed.
--- a/src/core/relay/placement.cpp
+++ b/src/core/relay/placement.cpp
@@ -14,9 +14,23 @@
 constexpr double MinimumLatencySampleWeight = 0.15;
 // Weight of one call in the moving average of the failure share of an instance.
 constexpr double FailureSampleWeight = 0.12;
+// Minimum weight of one report in the moving averages of the load and the speed of an instance.
+constexpr double MinimumReportSampleWeight = 0.1;
 // Penalty of an instance that is used only if there is no other.
 constexpr double UnusablePenaltySeconds = 1000.0;
 
+// Decay of the greatest speed of a service with each draw, so that it follows instances that become slower.
+constexpr double MostCallsDecay = 0.001;
+// Speed of an instance that this node has not called yet, as a share of the greatest speed of its service.
+constexpr double UnknownSpeedShare = 0.5;
+// Random draws for one choice. They find the candidates unless fewer than about one instance in ten may be chosen.
+constexpr unsigned MaxDraws = 48;
+
+bool isUsable(const Instance &instance, std::span<const std::string> excluded)
+{
+    return !instance.draining && std::ranges::find(excluded, instance.id) == excluded.end();
+}
+
 } // namespace
 
 Placement::Placement(const PlacementOptions &options, DomainId ownDomain, const Clock &clock, RandomEngine &random)
@@ -27,27 +41,26 @@
 const Instance *Placement::choose(std::span<const Instance> instances, std::span<const std::string> excluded, const std::string &route,
                                   Duration targetLatency)
 {
-    std::vector<const Instance *> ownDomainCandidates;
-    std::vector<const Instance *> otherDomainCandidates;
-    for (const Instance &instance : instances) {
-        if (!instance.draining && std::ranges::find(excluded, instance.id) == excluded.end()) {
-            (instance.domain == m_ownDomain ? ownDomainCandidates : otherDomainCandidates).push_back(&instance);
-        }
-    }
+    const Candidates candidates = m_knowsSpeeds ? sampleBySpeed(instances, excluded) : sampleEvenly(instances, excluded);
     double lowestFailureShare = 1.0;
-    for (const std::vector<const Instance *> *candidates : {&ownDomainCandidates, &otherDomainCandidates}) {
-        for (const Instance *instance : *candidates) {
-            lowestFailureShare = std::min(lowestFailureShare, failureShare(instance->id));
+    if (!m_knowsSpeeds) {
+        for (const Instance &instance : instances) {
+            if (isUsable(instance, excluded)) {
+                lowestFailureShare = std::min(lowestFailureShare, failureShare(instance.id));
+            }
+        }
+    } else {
+        for (const auto *list : {&candidates.ownDomain, &candidates.otherDomains}) {
+            for (const Instance *instance : *list) {
+                lowestFailureShare = std::min(lowestFailureShare, failureShare(instance->id));
+            }
         }
     }
     const Instance *best = nullptr;
     double lowestCostSeconds = 0.0;
     std::uniform_real_distribution<double> noise(1.0 - m_options.waitJitterShare, 1.0 + m_options.waitJitterShare);
-    for (std::vector<const Instance *> *candidates : {&ownDomainCandidates, &otherDomainCandidates}) {
-        // Also without a selection: of instances with equal costs the first one is chosen.
-        std::shuffle(candidates->begin(), candidates->end(), m_random);
-        candidates->resize(std::min(candidates->size(), m_options.candidatesPerDomain));
-        for (const Instance *instance : *candidates) {
+    for (const auto *list : {&candidates.ownDomain, &candidates.otherDomains}) {
+        for (const Instance *instance : *list) {
             const double instanceCostSeconds = costSeconds(*instance, route, targetLatency, lowestFailureShare, noise(m_random));
             if (best == nullptr || instanceCostSeconds < lowestCostSeconds) {
                 best = instance;
@@ -58,6 +71,61 @@
     return best;
 }
 
+Placement::Candidates Placement::sampleEvenly(std::span<const Instance> instances, std::span<const std::string> excluded) const
+{
+    Candidates candidates;
+    for (const Instance &instance : instances) {
+        if (isUsable(instance, excluded)) {
+            (instance.domain == m_ownDomain ? candidates.ownDomain : candidates.otherDomains).push_back(&instance);
+        }
+    }
+    for (std::vector<const Instance *> *list : {&candidates.ownDomain, &candidates.otherDomains}) {
+        // Also without a selection: of instances with equal costs the first one is chosen.
+        std::shuffle(list->begin(), list->end(), m_random);
+        list->resize(std::min(list->size(), m_options.candidatesPerDomain));
+    }
+    return candidates;
+}
+
+Placement::Candidates Placement::sampleBySpeed(std::span<const Instance> instances, std::span<const std::string> excluded)
+{
+    Candidates candidates;
+    if (instances.empty()) {
+        return candidates;
+    }
+    double &most = m_mostCallsPerSecond[instances.front().service];
+    const std::size_t wanted = m_options.weightedCandidatesPerDomain;
+    std::uniform_int_distribution<std::size_t> index(0, instances.size() - 1);
+    std::uniform_real_distribution<double> chance(0.0, 1.0);
+    for (unsigned draw = 0; draw < MaxDraws; ++draw) {
+        const Instance &instance = instances[index(m_random)];
+        std::vector<const Instance *> &list = instance.domain == m_ownDomain ? candidates.ownDomain : candidates.otherDomains;
+        if (list.size() >= wanted || !isUsable(instance, excluded) || std::ranges::find(list, &instance) != list.end()) {
+            continue;
+        }
+        // All nodes try an instance of unknown speed at the same time after their start, so it counts as a slow one.
+        const double speed = callsPerSecond(instance).value_or(UnknownSpeedShare * most);
+        most = std::max(speed, most * (1.0 - MostCallsDecay));
+        if (most <= 0.0 || chance(m_random) < speed / most) {
+            list.push_back(&instance);
+        }
+        if (candidates.ownDomain.size() >= wanted && candidates.otherDomains.size() >= wanted) {
+            return candidates;
+        }
+    }
+    // Few instances may be chosen, or few of a failure domain.
+    return candidates.ownDomain.empty() ? sampleEvenly(instances, excluded) : candidates;
+}
+
+std::optional<double> Placement::callsPerSecond(const Instance &instance) const
+{
+    const auto found = m_states.find(instance.id);
+    if (found == m_states.end() || found->second.report.concurrencyLimit == 0 || found->second.report.holdingTime <= Duration(0)) {
+        return std::nullopt;
+    }
+    return usableSlots(instance, found->second) / toSeconds(found->second.report.holdingTime);
+}
+
 void Placement::onRequestSent(const std::string &instance)
 {
     ++m_states[instance].inFlightCalls;
@@ -100,10 +168,22 @@
 void Placement::recordReport(const std::string &instance, const ServingReport &report)
 {
     State &state = m_states[instance];
+    const TimePoint previousReportTime = state.lastReportTime;
     state.report = report;
     state.lastReportTime = m_clock.now();
     const unsigned occupied = report.runningRequests + report.queuedRequests;
     state.otherNodeCalls = occupied - std::min(occupied, state.inFlightCalls);
+    if (report.slowdownPercent > 0) {
+        m_knowsSpeeds = true;
+        updateMeans(state, decayFactor(previousReportTime));
+    }
+}
+
+void Placement::updateMeans(State &state, double formerWeight)
+{
+    const double weight = state.meanSlowdownPercent <= 0.0 ? 1.0 : std::max(MinimumReportSampleWeight, 1.0 - formerWeight);
+    state.meanOtherNodeCalls += weight * (state.otherNodeCalls - state.meanOtherNodeCalls);
+    state.meanSlowdownPercent += weight * (state.report.slowdownPercent - state.meanSlowdownPercent);
 }
 
 void Placement::forgetInstance(const std::string &instance)
@@ -138,6 +218,7 @@
     const double excessFailureShare
         = state.failureShare * decayFactor(state.lastFailureUpdate) - lowestFailureShare - m_options.toleratedFailureShare;
     return total + noise * expectedWaitSeconds(instance, state)
+        + m_options.outstandingWorkShare * noise * outstandingWorkSeconds(instance, state)
         + m_options.failurePenaltyFactor * target * std::max(0.0, excessFailureShare);
 }
 
@@ -146,9 +227,42 @@
     if (state.report.concurrencyLimit == 0) {
         return 0.0;
     }
-    const double occupied = state.otherNodeCalls * decayFactor(state.lastReportTime) + state.inFlightCalls;
-    const double limit = state.report.concurrencyLimit * (m_clock.now() < instance.coldUntil ? m_options.warmUpSlotShare : 1.0);
-    return std::max(0.0, occupied + 1.0 - limit) / limit * toSeconds(state.report.holdingTime);
+    const double limit = usableSlots(instance, state);
+    return std::max(0.0, probableCalls(state) + 1.0 - limit) / limit * probableHoldingSeconds(state);
+}
+
+double Placement::outstandingWorkSeconds(const Instance &instance, const State &state) const
+{
+    if (state.report.concurrencyLimit == 0 || state.report.slowdownPercent == 0) {
+        return 0.0;
+    }
+    return (probableCalls(state) + 1.0) / usableSlots(instance, state) * probableHoldingSeconds(state);
+}
+
+double Placement::usableSlots(const Instance &instance, const State &state) const
+{
+    return state.report.concurrencyLimit * (m_clock.now() < instance.coldUntil ? m_options.warmUpSlotShare : 1.0);
+}
+
+double Placement::probableCalls(const State &state) const
+{
+    if (state.report.slowdownPercent == 0) {
+        return state.otherNodeCalls * decayFactor(state.lastReportTime) + state.inFlightCalls;
+    }
+    const double weight = std::exp(-toSeconds(m_clock.now() - state.lastReportTime)
+                                   / (2.0 * toSeconds(state.report.holdingTime) + toSeconds(m_options.loadDecayTime)));
+    return state.meanOtherNodeCalls + weight * (state.otherNodeCalls - state.meanOtherNodeCalls) + state.inFlightCalls;
+}
+
+double Placement::probableHoldingSeconds(const State &state) const
+{
+    const double holdingSeconds = toSeconds(state.report.holdingTime);
+    if (state.report.slowdownPercent == 0 || state.meanSlowdownPercent <= 0.0) {
+        return holdingSeconds;
+    }
+    // The holding time is a mean over many calls, so that it contains the mean slowdown.
+    const double weight = std::exp(-toSeconds(m_clock.now() - state.lastReportTime) / toSeconds(m_options.speedDecayTime));
+    return holdingSeconds * (1.0 + weight * (state.report.slowdownPercent / state.meanSlowdownPercent - 1.0));
 }
 
 double Placement::decayFactor(TimePoint lastUpdate) const
--- a/src/core/relay/placement.h
+++ b/src/core/relay/placement.h
@@ -6,6 +6,7 @@
 #include "core/relay/servingreport.h"
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -33,6 +34,18 @@
     double waitJitterShare = 0.2;
     // Maximum number of instances of the own failure domain, and of the others, that are compared for one call.
     std::size_t candidatesPerDomain = 4;
+    // The same if the candidates are drawn by what they finish. With more, all nodes would send to the instance that looked best at the
+    // time of their reports.
+    std::size_t weightedCandidatesPerDomain = 2;
+    // Weight of the time that an instance needs for the calls that it has, if its backend server tells its speed. It orders instances with
+    // free slots, and is far below the penalty of another failure domain.
+    double outstandingWorkShare = 0.02;
+    // Time in which the weight of a reported speed decays by a factor of e, in favor of the mean speed: other programs on the host start
+    // and stop several times a second.
+    Duration speedDecayTime = std::chrono::milliseconds(200);
+    // Time in which the weight of a reported load decays by a factor of e in favor of the mean load, in addition to two holding times: the
+    // calls of the report have ended by then, and others have come.
+    Duration loadDecayTime = std::chrono::milliseconds(100);
     // Time in which the weight of a measured latency or failure decays by a factor of e, so that an avoided instance is tried again.
     Duration measurementDecayTime = std::chrono::milliseconds(3000);
     // Time for which an instance is avoided after its node reported that it shuts down. A stopped process starts again within
@@ -57,12 +70,20 @@
 };
 
 // Load balancer: chooses the instance for a call by its measured latency, reported queue and failures, and prefers the own failure domain.
-// It avoids instances that are slow, full, failing or unreachable as long as others of their service are better. Not thread safe.
+// It avoids instances that are slow, full, failing or unreachable as long as others of their service are better. If backend servers tell
+// their speed, instances with free slots get calls in proportion to what they finish, and an old report counts less than the mean of all:
+// many nodes choose by old reports at the same time, and would overrun one instance after the other. Not thread safe.
 class Placement
 {
 public:
     Placement(const PlacementOptions &options, DomainId ownDomain, const Clock &clock, RandomEngine &random);
 
+    // True once backend servers have told their speed; choices then weigh instances by what they finish.
+    bool knowsSpeeds() const
+    {
+        return m_knowsSpeeds;
+    }
+
     // Instance with the lowest expected time; null if all are draining or excluded. `excluded` holds instance ids, `targetLatency` is that
     // of the route.
     const Instance *choose(std::span<const Instance> instances, std::span<const std::string> excluded, const std::string &route,
@@ -95,6 +116,9 @@
         unsigned otherNodeCalls = 0;
         ServingReport report;
         TimePoint lastReportTime;
+        // Moving averages of `otherNodeCalls` and of the reported slowdown in percent, if the backend server tells it.
+        double meanOtherNodeCalls = 0.0;
+        double meanSlowdownPercent = 0.0;
         std::unordered_map<std::string, Latency> latencyByRoute;
         // Moving average of the share of failed calls, 0 to 1.
         double failureShare = 0.0;
@@ -104,12 +128,34 @@
         TimePoint pausedUntil{};
     };
 
+    struct Candidates
+    {
+        std::vector<const Instance *> ownDomain;
+        std::vector<const Instance *> otherDomains;
+    };
+
+    // Some instances of the own failure domain and of the others that may be chosen, at random.
+    Candidates sampleEvenly(std::span<const Instance> instances, std::span<const std::string> excluded) const;
+    // The same, with chances in proportion to what the instances finish. The cost does not grow with the instances, unless hardly any of
+    // them may be chosen.
+    Candidates sampleBySpeed(std::span<const Instance> instances, std::span<const std::string> excluded);
+    // Calls that an instance finishes in a second; empty if unknown.
+    std::optional<double> callsPerSecond(const Instance &instance) const;
     // Expected wait of a call with the penalties of the options, in seconds. `lowestFailureShare` is that of the best candidate; `noise` is
     // a random factor of the wait.
     double costSeconds(const Instance &instance, const std::string &route, Duration targetLatency, double lowestFailureShare,
                        double noise) const;
     // Expected time in the queue of the instance, by the last report and the calls of this node.
     double expectedWaitSeconds(const Instance &instance, const State &state) const;
+    // Time that an instance whose speed is known needs for the calls that it probably has, and one more.
+    double outstandingWorkSeconds(const Instance &instance, const State &state) const;
+    // Number of calls that an instance probably has.
+    double probableCalls(const State &state) const;
+    double usableSlots(const Instance &instance, const State &state) const;
+    // Mean time for which a call occupies a slot, by the speed that the instance probably has now.
+    double probableHoldingSeconds(const State &state) const;
+    // Adds the last report to the moving averages; `formerWeight` is what is left of the weight of the report before.
+    static void updateMeans(State &state, double formerWeight);
     // Remaining weight of a measurement of the given time: 1 for a new one, less with age.
     double decayFactor(TimePoint lastUpdate) const;
 
@@ -118,6 +164,9 @@
     const Clock &m_clock;
     RandomEngine &m_random;
     std::unordered_map<std::string, State> m_states;
+    bool m_knowsSpeeds = false;
+    // Greatest number of calls that an instance of a service finishes in a second, slowly decaying.
+    std::unordered_map<ServiceId, double> m_mostCallsPerSecond;
 };
 
 } // namespace wisteriafork
--- a/src/core/relay/servingqueue.cpp
+++ b/src/core/relay/servingqueue.cpp
@@ -19,6 +19,9 @@
 // Wait ratio that counts for a request that waited until it was too late to start.
 constexpr double LateRequestWaitRatio = 10.0;
 
+// Work that a request counts for whose holding time is not known yet.
+constexpr double MinimumWorkSeconds = 0.001;
+
 } // namespace
 
 ServingQueue::ServingQueue(const ServingQueueOptions &options, const Clock &clock)
@@ -32,10 +35,16 @@
     m_concurrencyLimit = std::max(1U, static_cast<unsigned>(std::floor(m_options.usableSlotShare * slots)));
 }
 
+void ServingQueue::setSlowdown(unsigned percent)
+{
+    m_meanSlowdownPercent += (m_meanSlowdownPercent <= 0.0 ? 1.0 : MeanHoldingSampleWeight) * (percent - m_meanSlowdownPercent);
+    m_relativeSlowdown = percent / m_meanSlowdownPercent;
+}
+
 ServingDecision ServingQueue::offer(const ServingRequest &request)
 {
     const Rank rank = rankOf(request);
-    const Duration wait = expectedWait(rank);
+    const Duration wait = expectedWait(rank, request);
     if (isTooLate(request, request.isInner ? Duration(0) : wait)) {
         return ServingDecision::RefuseLate;
     }
@@ -48,12 +57,32 @@
     if (sheddable && toSeconds(wait) > m_options.maximumWaitShare * toSeconds(request.targetLatency)) {
         return ServingDecision::RefuseOverload;
     }
-    m_waitingByRank[rank].push_back({.request = request, .arrivalTime = now});
+    enqueue(rank, request);
     m_rankById.emplace(request.id, rank);
     m_waitingSecondsByRank[rank] += toSeconds(holdingTime(request.route));
     return ServingDecision::Wait;
 }
 
+void ServingQueue::enqueue(Rank rank, const ServingRequest &request)
+{
+    std::list<Waiting> &list = m_waitingByRank[rank];
+    Fairness &fairness = m_fairnessByRank[rank];
+    if (list.empty()) {
+        // Work that was done while nobody had to wait counts against no workspace.
+        fairness = {};
+    }
+    Waiting waiting{.request = request, .arrivalTime = m_clock.now(), .startTag = startTagOf(rank, request)};
+    if (!request.workspace.empty()) {
+        fairness.nextTagByWorkspace[request.workspace]
+            = waiting.startTag + std::max(MinimumWorkSeconds, toSeconds(holdingTime(request.route)));
+    }
+    auto position = list.end();
+    while (position != list.begin() && std::prev(position)->startTag > waiting.startTag) {
+        --position;
+    }
+    list.insert(position, std::move(waiting));
+}
+
 void ServingQueue::finish(CallId id, bool completed)
 {
     const auto found = m_runningById.find(id);
@@ -104,6 +133,7 @@
     for (auto &[rank, list] : m_waitingByRank) {
         while (hasFreeSlot() && !list.empty()) {
             const Waiting next = list.front();
+            m_fairnessByRank[rank].virtualTime = next.startTag;
             withdraw(next.request.id);
             start(next.request, next.arrivalTime);
             changes.push_back({.id = next.request.id, .decision = ServingDecision::Start});
@@ -170,16 +200,34 @@
     return toSeconds(wait) / std::max(1e-3, m_options.allowedMeanWaitShare * toSeconds(request.targetLatency));
 }
 
-Duration ServingQueue::expectedWait(Rank rank) const
+Duration ServingQueue::expectedWait(Rank rank, const ServingRequest &request) const
 {
     if (hasFreeSlot()) {
         return Duration(0);
     }
     double workSeconds = 0.0;
     for (const auto &[waitingRank, waitingSeconds] : m_waitingSecondsByRank) {
-        workSeconds += waitingRank <= rank ? waitingSeconds : 0.0;
+        workSeconds += waitingRank < rank || (waitingRank == rank && request.workspace.empty()) ? waitingSeconds : 0.0;
+    }
+    if (const auto own = m_waitingByRank.find(rank); own != m_waitingByRank.end() && !request.workspace.empty()) {
+        // Requests of workspaces that have had more than their share start later.
+        const double tag = startTagOf(rank, request);
+        for (const Waiting &waiting : own->second) {
+            workSeconds += waiting.startTag <= tag ? toSeconds(holdingTime(waiting.request.route)) : 0.0;
+        }
+    }
+    return fromSeconds(workSeconds * m_relativeSlowdown / m_concurrencyLimit);
+}
+
+double ServingQueue::startTagOf(Rank rank, const ServingRequest &request) const
+{
+    const auto fairness = m_fairnessByRank.find(rank);
+    if (fairness == m_fairnessByRank.end()) {
+        return 0.0;
     }
-    return fromSeconds(workSeconds / m_concurrencyLimit);
+    const auto next = fairness->second.nextTagByWorkspace.find(request.workspace);
+    return next == fairness->second.nextTagByWorkspace.end() ? fairness->second.virtualTime
+                                                             : std::max(fairness->second.virtualTime, next->second);
 }
 
 bool ServingQueue::isTooLate(const ServingRequest &request, Duration wait) const
--- a/src/core/relay/servingqueue.h
+++ b/src/core/relay/servingqueue.h
@@ -38,6 +38,8 @@
     bool isInner = false;
     // Priority of the original request of the caller; 0 is the most urgent.
     unsigned priority = 0;
+    // Workspace of the original request; empty if there is none.
+    std::string workspace;
     // Time by which the response must be complete.
     TimePoint deadline;
     Duration targetLatency{0};
@@ -56,8 +58,10 @@
 };
 
 // Priority queue with a concurrency limit for the requests of the local backend server, so that the own queue of the backend server stays
-// empty. Requests start by priority of the original request, inner calls before new caller requests of the same priority, then in order of
-// arrival. Offer each request once and finish each started request once. Not thread safe.
+// empty. Requests start by priority of the original request, inner calls before new caller requests of the same priority, then fairly among
+// workspaces: one that sends many times its usual waits for itself, and the others get what they ask for up to an equal share. Requests of
+// one workspace, and those without any, start in order of arrival. Offer each request once and finish each started request once. Not thread
+// safe.
 class ServingQueue
 {
 public:
@@ -72,6 +76,9 @@
 
     // Sets the number of requests that the backend server can run at the same time.
     void setSlots(unsigned slots);
+    // Sets the time that work takes on the host at this moment, in percent of the usual time. Waits are expected to be longer or shorter
+    // accordingly.
+    void setSlowdown(unsigned percent);
     // Decides on a new request. `id` must not be in use.
     ServingDecision offer(const ServingRequest &request);
     // Ends a started request. `completed` is true if the backend server answered it; only then its time counts for the holding times. An
@@ -96,6 +103,17 @@
     {
         ServingRequest request;
         TimePoint arrivalTime;
+        // Position in the order of starts of its rank.
+        double startTag = 0.0;
+    };
+
+    // Start-time fair queueing among the workspaces of one rank, in seconds of work.
+    struct Fairness
+    {
+        // Tag of the request that started last.
+        double virtualTime = 0.0;
+        // Tag at which the next request of a workspace begins.
+        std::unordered_map<std::string, double> nextTagByWorkspace;
     };
 
     struct Running
@@ -109,18 +127,24 @@
 
     static Rank rankOf(const ServingRequest &request);
     bool hasFreeSlot() const;
+    // Adds a request to those that wait, in the order of their starts.
+    void enqueue(Rank rank, const ServingRequest &request);
     void start(const ServingRequest &request, TimePoint arrivalTime);
     // Ratio of a wait to the allowed mean wait of the request.
     double waitRatio(const ServingRequest &request, Duration wait) const;
     // Estimated wait of a new request of the rank.
-    Duration expectedWait(Rank rank) const;
+    Duration expectedWait(Rank rank, const ServingRequest &request) const;
+    // Tag of a new request in the order of its rank.
+    double startTagOf(Rank rank, const ServingRequest &request) const;
     // Whether a request that starts after `wait` would miss its deadline.
     bool isTooLate(const ServingRequest &request, Duration wait) const;
 
     const ServingQueueOptions m_options;
     const Clock &m_clock;
     unsigned m_concurrencyLimit = 1;
+    // In the order of their tags.
     std::map<Rank, std::list<Waiting>> m_waitingByRank;
+    std::map<Rank, Fairness> m_fairnessByRank;
     std::unordered_map<CallId, Rank> m_rankById;
     std::unordered_map<CallId, Running> m_runningById;
     // Sum of the expected holding times of the waiting requests of each rank.
@@ -133,6 +157,9 @@
     unsigned m_waitRatioCount = 0;
     Duration m_longestWait{0};
     double m_meanHoldingSeconds = 0.0;
+    // Moving average of the slowdown in percent, which the holding times contain, and the present slowdown as a multiple of it.
+    double m_meanSlowdownPercent = 0.0;
+    double m_relativeSlowdown = 1.0;
 };
 
 } // namespace wisteriafork
--- a/src/core/relay/servingreport.h
+++ b/src/core/relay/servingreport.h
@@ -20,6 +20,8 @@
     double pressure = 0.0;
     // Version of the configuration in force at the node.
     std::uint64_t configurationVersion = 0;
+    // Time that work takes on the host of the instance at this moment, in percent of the usual time; 0 if the backend server does not tell.
+    std::uint32_t slowdownPercent = 0;
     // The node shuts down and accepts no further calls of other nodes.
     bool leaving = false;
 };
--- a/src/observability/eventcatalogue.cpp
+++ b/src/observability/eventcatalogue.cpp
@@ -43,6 +43,7 @@
 constexpr FieldNames<2> SourceReaderChangedFields{"address", "state"};
 constexpr FieldNames<4> ServerCallOverdueFields{"request", "route", "instance", "milliseconds"};
 constexpr FieldNames<4> SentRequestRefusedFields{"request", "route", "status", "attempts"};
+constexpr FieldNames<2> SourceRestoredFromCopyFields{"era", "revision"};
 constexpr FieldNames<1> QuotaLenderSilentFields{"address"};
 constexpr FieldNames<6> ServingLoadFields{"limit", "running", "queued", "waitMs", "pressure", "openCalls"};
 
@@ -81,6 +82,7 @@
     EventDescription{Number::SourceReaderChanged, "source-reader-changed", Severity::Info, SourceReaderChangedFields},
     EventDescription{Number::ServerCallOverdue, "server-call-overdue", Severity::Warning, ServerCallOverdueFields},
     EventDescription{Number::SentRequestRefused, "sent-request-refused", Severity::Info, SentRequestRefusedFields},
+    EventDescription{Number::SourceRestoredFromCopy, "source-restored-from-copy", Severity::Warning, SourceRestoredFromCopyFields},
     EventDescription{Number::QuotaLenderSilent, "quota-lender-silent", Severity::Info, QuotaLenderSilentFields},
 };
 
--- a/src/observability/eventnumber.h
+++ b/src/observability/eventnumber.h
@@ -46,6 +46,7 @@
     SourceReaderChanged = 1013,
     ServerCallOverdue = 1014,
     SentRequestRefused = 1015,
+    SourceRestoredFromCopy = 1016,
     // Quotas of workspaces
     QuotaLenderSilent = 1100,
 };
--- a/src/relay/changestext.h
+++ b/src/relay/changestext.h
@@ -4,10 +4,10 @@
 
 namespace wisteriafork {
 
-// Response of a node to a request for published changes, as it travels between nodes.
+// Request for published changes, or the response to one, as it travels between nodes.
 struct ChangesText
 {
-    // Encoded `ChangesResponse`.
+    // Encoded `ChangesRequest` or `ChangesResponse`.
     std::string body;
     // Details that nodes of earlier versions ignore, see `encodeDetails`; empty if there are none.
     std::string details;
--- a/src/relay/peergateway.cpp
+++ b/src/relay/peergateway.cpp
@@ -25,7 +25,7 @@
     options.connectTimeout = ConnectTimeout;
     options.reconnectBackoff = ReconnectBackoff;
     options.pingInterval = PingInterval;
-    options.unindexedFields = {CallField, ReportField};
+    options.unindexedFields = {CallField, ReportField, LoadField};
     options.tls = settings.tls;
     return options;
 }
@@ -68,12 +68,15 @@
                  });
 }
 
-void PeerGateway::requestChanges(const std::string &address, std::string request, std::function<void(std::optional<ChangesText>)> handler)
+void PeerGateway::requestChanges(const std::string &address, ChangesText request, std::function<void(std::optional<ChangesText>)> handler)
 {
     HttpHeaders fields;
     fields.add(":path", ChangesPath);
     auto http = std::make_shared<HttpRequest>();
-    http->body = std::move(request);
+    http->body = std::move(request.body);
+    if (!request.details.empty()) {
+        http->headers.add(DetailsField, std::move(request.details));
+    }
     m_peers.send(address, std::move(http), std::move(fields),
                  [handler = std::move(handler)](tl::expected<HttpResponse, ExchangeError> result) {
                      if (result && result->status == 200) {
--- a/src/relay/peergateway.h
+++ b/src/relay/peergateway.h
@@ -26,7 +26,7 @@
     // Fetches the published state as the node at `address` knows it. The handler gets an empty optional if the node does not provide it.
     void fetchSnapshot(const std::string &address, std::function<void(std::optional<std::string>)> handler);
     // Asks the node at `address` for published changes. The handler is called once, with nothing if there is no answer.
-    void requestChanges(const std::string &address, std::string request, std::function<void(std::optional<ChangesText>)> handler);
+    void requestChanges(const std::string &address, ChangesText request, std::function<void(std::optional<ChangesText>)> handler);
     // Asks the node at `address` for tokens of workspaces. The handler is called once, with nothing if there is no answer.
     void askForQuota(const std::string &address, std::string request, std::function<void(std::optional<std::string>)> handler);
     // Sends reports on requests that are suspected of crashing backend servers to a node. Errors are ignored, because the node that
--- a/src/relay/peerhandler.cpp
+++ b/src/relay/peerhandler.cpp
@@ -7,7 +7,7 @@
 namespace wisteriafork {
 
 PeerHandler::PeerHandler(RelayParts &parts, ServingGateway &serving, QuotaGateway &quotas, std::function<std::string()> snapshot,
-                         std::function<void(const std::string &, std::function<void(ChangesText)>)> onChangesRequested)
+                         std::function<void(const ChangesText &, std::function<void(ChangesText)>)> onChangesRequested)
     : m_parts(parts)
     , m_serving(serving)
     , m_quotas(quotas)
@@ -23,7 +23,9 @@
         return;
     }
     if (exchange->request->target == ChangesPath && m_onChangesRequested) {
-        m_onChangesRequested(exchange->request->body, [exchange](ChangesText text) {
+        const ChangesText changesRequest{.body = exchange->request->body,
+                                         .details = std::string(exchange->request->headers.find(DetailsField))};
+        m_onChangesRequested(changesRequest, [exchange](ChangesText text) {
             HttpResponse response{.status = 200, .body = std::move(text.body)};
             if (!text.details.empty()) {
                 response.headers.add(DetailsField, std::move(text.details));
--- a/src/relay/peerhandler.h
+++ b/src/relay/peerhandler.h
@@ -18,7 +18,7 @@
     // `snapshot` returns the published state as this node knows it, encoded for other nodes.
     // `onChangesRequested` handles requests for published changes; null if the deployment has none.
     PeerHandler(RelayParts &parts, ServingGateway &serving, QuotaGateway &quotas, std::function<std::string()> snapshot,
-                std::function<void(const std::string &, std::function<void(ChangesText)>)> onChangesRequested);
+                std::function<void(const ChangesText &, std::function<void(ChangesText)>)> onChangesRequested);
 
     void handleRequest(std::shared_ptr<ServerExchange> exchange) override;
     void handleCancellation(ServerExchange &exchange) override;
@@ -28,7 +28,7 @@
     ServingGateway &m_serving;
     QuotaGateway &m_quotas;
     const std::function<std::string()> m_snapshot;
-    const std::function<void(const std::string &, std::function<void(ChangesText)>)> m_onChangesRequested;
+    const std::function<void(const ChangesText &, std::function<void(ChangesText)>)> m_onChangesRequested;
 };
 
 } // namespace wisteriafork
--- a/src/relay/relayheaders.cpp
+++ b/src/relay/relayheaders.cpp
@@ -26,6 +26,8 @@
 constexpr std::int64_t LastEvidence = static_cast<std::int64_t>(NotExecutedEvidence::ServerMisdirected);
 
 constexpr double PressureScale = 1000.0;
+// A greater slowdown is a mistake of the sender.
+constexpr std::int64_t MaxSlowdownPercent = 1'000'000;
 
 std::int64_t microseconds(Duration duration)
 {
@@ -165,7 +167,7 @@
         // those of the node.
         for (const std::string_view name :
              {std::string_view(names.requestId), std::string_view(FailureField), std::string_view(EvidenceField),
-              std::string_view(ReportField), std::string_view(RevisionsField)}) {
+              std::string_view(ReportField), std::string_view(LoadField), std::string_view(RevisionsField)}) {
             response.headers.remove(name);
         }
     } else if (const auto *notExecuted = std::get_if<NotExecuted>(&outcome.result)) {
@@ -177,6 +179,9 @@
     }
     const std::string origin = takeField(response.headers, names.responseOrigin.c_str());
     response.headers.add(ReportField, encodeReport(outcome.report.value_or(ServingReport{})) + (origin.empty() ? "" : " ") + origin);
+    if (outcome.report && outcome.report->slowdownPercent > 0) {
+        response.headers.add(LoadField, std::to_string(outcome.report->slowdownPercent));
+    }
     return response;
 }
 
@@ -189,6 +194,10 @@
     if (!outcome.report) {
         return std::nullopt;
     }
+    const auto slowdown = parseNumbers<1>(takeField(response.headers, LoadField));
+    if (slowdown && slowdown->front() > 0 && slowdown->front() <= MaxSlowdownPercent) {
+        outcome.report->slowdownPercent = static_cast<std::uint32_t>(slowdown->front());
+    }
     if (!rest.empty()) {
         response.headers.add(names.responseOrigin, std::string(rest));
     }
--- a/src/relay/relayheaders.h
+++ b/src/relay/relayheaders.h
@@ -14,6 +14,9 @@
 constexpr const char *CallField = "wf-call";
 // The corresponding field of responses.
 constexpr const char *ReportField = "wf-report";
+// Slowdown of the host of the instance in percent, in responses of nodes whose backend server tells it. A field of its own, because nodes
+// of earlier versions reject a report with more figures.
+constexpr const char *LoadField = "wf-load";
 // Revisions of the published state that the sender of a request or a response knows.
 constexpr const char *RevisionsField = "wf-published";
 
--- a/src/relay/relaynode.cpp
+++ b/src/relay/relaynode.cpp
@@ -235,7 +235,7 @@
     m_impl->requestSnapshot(peerAddress);
 }
 
-void RelayNode::requestChanges(const std::string &peerAddress, std::string request, std::function<void(std::optional<ChangesText>)> handler)
+void RelayNode::requestChanges(const std::string &peerAddress, ChangesText request, std::function<void(std::optional<ChangesText>)> handler)
 {
     m_impl->peerGateway.requestChanges(peerAddress, std::move(request), std::move(handler));
 }
--- a/src/relay/relaynode.h
+++ b/src/relay/relaynode.h
@@ -36,7 +36,7 @@
         std::function<void(const std::string &peerAddress, const std::string &snapshot)> onSnapshotReceived;
         // Called with the request of another node for published changes; `respond` is called once with the response, possibly later. May be
         // null if the deployment has no such requests.
-        std::function<void(const std::string &request, std::function<void(ChangesText response)> respond)> onChangesRequested = nullptr;
+        std::function<void(const ChangesText &request, std::function<void(ChangesText response)> respond)> onChangesRequested = nullptr;
         // Called with the revisions that another node adds to its messages; may be null.
         std::function<void(const std::string &peerAddress, const std::string &revisions)> onRevisionsSeen = nullptr;
         // Notified about the requests of callers; may be null.
@@ -83,7 +83,7 @@
     void requestSnapshot(const std::string &peerAddress);
 
     // Asks another node for published changes. The handler is called once with its response, or with nothing if there is none.
-    void requestChanges(const std::string &peerAddress, std::string request, std::function<void(std::optional<ChangesText>)> handler);
+    void requestChanges(const std::string &peerAddress, ChangesText request, std::function<void(std::optional<ChangesText>)> handler);
     // Sets the text with the revisions of the published state that this node adds to its messages to other nodes; none while it is empty.
     void setPublishedRevisions(std::string revisions);
 
--- a/src/relay/servinggateway.cpp
+++ b/src/relay/servinggateway.cpp
@@ -3,6 +3,7 @@
 #include "core/crashguard/trialserver.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace wisteriafork {
@@ -23,6 +24,7 @@
             .route = request.route,
             .isInner = request.isInner,
             .priority = request.priority,
+            .workspace = request.workspace,
             .deadline = request.deadline,
             .targetLatency = request.targetLatency};
 }
@@ -206,7 +208,7 @@
     }
     reportToCrashGuard(id, result);
     if (result) {
-        updateSlots(result->headers.find(m_parts.settings.headers.instanceLoad));
+        updateLoad(result->headers.find(m_parts.settings.headers.instanceLoad));
         result->headers.remove(m_parts.settings.headers.instanceLoad);
     }
     if (result && result->status == MisdirectedStatus) {
@@ -313,21 +315,32 @@
     return found != m_misdirectedUntil.end() && m_parts.clock.now() < found->second;
 }
 
-void ServingGateway::updateSlots(std::string_view load)
+void ServingGateway::updateLoad(std::string_view load)
 {
-    // Backend servers report the requests that they run and those that wait before their slots, and possibly their speed after them.
+    // Running and waiting requests and the slots, and the slowdown if the backend server tells it.
     constexpr std::size_t SlotsPosition = 2;
-    for (std::size_t position = 0; position < SlotsPosition; ++position) {
-        const std::size_t comma = load.find(',');
-        if (comma == std::string_view::npos) {
-            return;
+    constexpr std::size_t SlowdownPosition = 3;
+    std::array<std::uint32_t, SlowdownPosition + 1> figures{};
+    std::size_t count = 0;
+    for (; count < figures.size() && !load.empty(); ++count) {
+        const auto [end, error] = std::from_chars(load.data(), load.data() + load.size(), figures.at(count));
+        if (error != std::errc()) {
+            break;
+        }
+        load.remove_prefix(static_cast<std::size_t>(end - load.data()));
+        const bool continues = load.starts_with(',');
+        load.remove_prefix(continues ? 1 : 0);
+        if (!continues) {
+            ++count;
+            break;
         }
-        load.remove_prefix(comma + 1);
     }
-    unsigned slots = 0;
-    const auto [end, error] = std::from_chars(load.data(), load.data() + load.size(), slots);
-    if (error == std::errc() && slots > 0) {
-        m_parts.queue.setSlots(slots);
+    if (count > SlotsPosition && figures[SlotsPosition] > 0) {
+        m_parts.queue.setSlots(figures[SlotsPosition]);
+    }
+    if (count > SlowdownPosition && figures[SlowdownPosition] > 0) {
+        m_slowdownPercent = figures[SlowdownPosition];
+        m_parts.queue.setSlowdown(m_slowdownPercent);
     }
 }
 
@@ -339,6 +352,7 @@
     }
     report.configurationVersion = m_parts.configurationVersion();
     report.leaving = m_parts.leaving;
+    report.slowdownPercent = m_slowdownPercent;
     return report;
 }
 
--- a/src/relay/servinggateway.h
+++ b/src/relay/servinggateway.h
@@ -71,8 +71,8 @@
     std::string requestId(const RelayRequest &request) const;
     // True if the backend server has recently responded that it is not this instance.
     bool isMisdirected(const std::string &instance) const;
-    // Reads the number of slots from the load field of a response. Ignores malformed values.
-    void updateSlots(std::string_view load);
+    // Reads the number of slots and the speed from the load field of a response. Ignores malformed values.
+    void updateLoad(std::string_view load);
     // State of the queue, with the greatest pressure among the routes that requests of `route` call.
     ServingReport servingReportFor(const std::string &route) const;
 
@@ -82,6 +82,8 @@
     // Instances that the backend server has denied to be, each with the time until which requests for it are refused without asking.
     std::unordered_map<std::string, TimePoint> m_misdirectedUntil;
     CallId m_lastId = 0;
+    // Time that work takes on this host at the moment, in percent of the usual time; 0 if the backend server does not tell.
+    std::uint32_t m_slowdownPercent = 0;
     bool m_probePending = false;
     // Lets the handler of a probe find out whether this object still exists.
     std::shared_ptr<const bool> m_alive = std::make_shared<const bool>(true);
--- a/tests/platform/storewatch_test.cpp
+++ b/tests/platform/storewatch_test.cpp
@@ -32,6 +32,7 @@
     std::vector<std::string> undecodableKeys;
     unsigned readCount = 0;
     std::uint64_t lastRevision = 0;
+    std::uint64_t lastEra = 0;
     unsigned failureCount = 0;
     unsigned successCount = 0;
     ManualClock clock;
@@ -40,7 +41,8 @@
     StoreWatchHandler makeHandler()
     {
         StoreWatchHandler handler;
-        handler.onItemsRead = [this](const std::vector<PublishedChange> &items, std::uint64_t revision) {
+        handler.onItemsRead = [this](const std::vector<PublishedChange> &items, std::uint64_t revision, std::uint64_t era) {
+            lastEra = era;
             ++readCount;
             knownItems.clear();
             for (const PublishedChange &item : items) {
--- a/tests/published/publishedsync_test.cpp
+++ b/tests/published/publishedsync_test.cpp
@@ -309,6 +309,53 @@
     }
 }
 
+// Guards against an older configuration, a removed instance or a draining one that comes back into use after the source has come back from
+// an older copy, and against nodes that miss what is written afterwards because its revisions were seen before.
+TEST(PublishedSync, NothingReturnsFromAnOlderCopyOfTheSource)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        std::mt19937_64 random(seed);
+        SyncFleet fleet({.nodes = 60, .seed = seed, .sync = {.confirmationInterval = seed % 2 == 0 ? 2500ms : 0ms}});
+        fleet.start();
+        fleet.time.runFor(10s);
+        const SimulatedSource::Copy copy = fleet.source.copy();
+        fleet.source.put(FeedId::Configuration, "configuration", "5");
+        fleet.source.remove(FeedId::Instances, SyncFleet::keyOf(7));
+        fleet.source.put(FeedId::Instances, SyncFleet::keyOf(8), "draining");
+        fleet.time.runFor(3s);
+        checkNoneStale(fleet, {}, "before");
+
+        fleet.goneForGood.insert(SyncFleet::keyOf(7));
+        fleet.source.state = SimulatedSource::State::Refusing;
+        fleet.time.runFor(std::chrono::milliseconds(random() % 3000));
+        fleet.source.restore(copy);
+        fleet.source.state = SimulatedSource::State::Up;
+        fleet.time.runFor(std::chrono::milliseconds(500 + random() % 2500));
+        if (seed % 3 == 0) {
+            const auto victim = static_cast<unsigned>(random() % fleet.nodeCount());
+            fleet.killNode(victim);
+            fleet.time.runFor(200ms);
+            fleet.startNode(victim);
+        }
+        for (unsigned node = 0; node < fleet.nodeCount(); ++node) {
+            CHECK_TEXT(fleet.configurationOf(node) >= 5 || seed % 3 == 0, std::to_string(node).c_str());
+        }
+        // The operator and the instances write again what was lost, and go on.
+        fleet.source.put(FeedId::Configuration, "configuration", "5");
+        fleet.source.remove(FeedId::Instances, SyncFleet::keyOf(7));
+        fleet.source.put(FeedId::Instances, SyncFleet::keyOf(8), "draining");
+        fleet.time.runFor(ChangeBound);
+        fleet.source.put(FeedId::Configuration, "configuration", "6");
+        fleet.source.put(FeedId::Instances, SyncFleet::keyOf(9), "draining");
+        fleet.time.runFor(ChangeBound);
+
+        for (unsigned node = 0; node < fleet.nodeCount(); ++node) {
+            LONGS_EQUAL_TEXT(6, fleet.configurationOf(node), ("seed " + std::to_string(seed)).c_str());
+        }
+        checkNoneStale(fleet, {}, ("seed " + std::to_string(seed)).c_str());
+    }
+}
+
 // Guards against violations under random combinations of faults: a change is known everywhere within its bound after the last fault,
 // versions never go back and removed keys never return.
 TEST(PublishedSync, TheFleetRecoversFromRandomFaults)
--- a/tests/published/simulatedsource.h
+++ b/tests/published/simulatedsource.h
@@ -68,6 +68,7 @@
         bool historyLost = false;
         std::vector<PublishedChange> changes;
         std::uint64_t revision = 0;
+        std::uint64_t era = 0;
     };
 
     explicit SimulatedSource(SimulatedTime &time) : m_time(time)
@@ -93,6 +94,40 @@
         }
     }
 
+    // State of the source at one moment.
+    struct Copy
+    {
+        std::array<std::map<std::string, PublishedChange>, FeedCount> content;
+        std::uint64_t revision = 0;
+    };
+
+    Copy copy() const
+    {
+        return {.content = m_content, .revision = m_revision};
+    }
+
+    // The source comes back from the copy: what was changed since is lost, and its revisions are given out again.
+    void restore(const Copy &copy)
+    {
+        ++m_era;
+        m_content = copy.content;
+        m_revision = copy.revision;
+        m_historyFrom = m_revision;
+        for (auto &history : m_history) {
+            history.clear();
+        }
+        for (auto &waiting : m_waiting) {
+            for (const auto &respond : std::exchange(waiting, {})) {
+                respond();
+            }
+        }
+    }
+
+    std::uint64_t era() const
+    {
+        return m_era;
+    }
+
     void forgetHistory()
     {
         m_historyFrom = m_revision;
@@ -100,7 +135,7 @@
 
     Result readAll(FeedId feed) const
     {
-        Result result{.revision = m_revision};
+        Result result{.revision = m_revision, .era = m_era};
         for (const auto &[key, item] : m_content[static_cast<std::size_t>(feed)]) {
             result.changes.push_back(item);
         }
@@ -110,14 +145,14 @@
     // Calls the handler with the changes after the revision, as soon as there are any, or at the end of the wait.
     void watch(FeedId feed, std::uint64_t after, Duration wait, std::function<void(Result)> handler)
     {
-        if (after < m_historyFrom) {
-            handler({.historyLost = true});
+        if (after < m_historyFrom || after > m_revision) {
+            handler({.historyLost = true, .era = m_era});
             return;
         }
         const auto done = std::make_shared<bool>(false);
         auto respond = [this, feed, after, done, handler = std::move(handler)] {
             if (!std::exchange(*done, true)) {
-                Result result{.revision = m_revision};
+                Result result{.revision = m_revision, .era = m_era};
                 for (const PublishedChange &change : m_history[static_cast<std::size_t>(feed)]) {
                     if (change.revision > after) {
                         result.changes.push_back(change);
@@ -169,6 +204,7 @@
 
     SimulatedTime &m_time;
     std::uint64_t m_revision = 1;
+    std::uint64_t m_era = 0;
     std::uint64_t m_historyFrom = 0;
     std::array<std::map<std::string, PublishedChange>, FeedCount> m_content;
     std::array<std::vector<PublishedChange>, FeedCount> m_history;
--- a/tests/published/syncfleet.h
+++ b/tests/published/syncfleet.h
@@ -148,6 +148,14 @@
         return oldest;
     }
 
+    // Version of the configuration that a node has applied; 0 if it has none.
+    unsigned long configurationOf(unsigned number) const
+    {
+        const auto &applied = m_nodes[number]->applied[static_cast<std::size_t>(FeedId::Configuration)];
+        const auto found = applied.find("configuration");
+        return found == applied.end() ? 0 : std::stoul(found->second.value);
+    }
+
     unsigned nodeCount() const
     {
         return m_options.nodes;
@@ -166,6 +174,8 @@
     unsigned mostCallsPerSecond = 0;
     // Keys that returned after their removal, and versions that went back.
     unsigned regressions = 0;
+    // Keys that must not return although a copy of the source contains them.
+    std::set<std::string> goneForGood;
     // Proofs of nodes that did not know the configuration of the time that the proof names.
     unsigned falseProofs = 0;
 
@@ -250,7 +260,7 @@
         if (&to == &from || !to.sync || from.losesSent || to.losesReceived) {
             return;
         }
-        time.after(MessageTime, [this, &from, &to, process = to.process, revisions = from.sync->lastChanges()] {
+        time.after(MessageTime, [this, &from, &to, process = to.process, revisions = from.sync->seenRevisions()] {
             runIn(to, process, [&from, &to, revisions] { to.sync->onRevisionsSeen(addressOf(from.number), revisions); });
         });
     }
@@ -283,6 +293,11 @@
         callbacks.onChanged = [this, &node](FeedId feed, const std::vector<PublishedChange> &changes) {
             apply(node, feed, changes);
         };
+        callbacks.mayReplace = [](const PublishedChange &knownItem, const PublishedChange &copied) {
+            const bool isConfiguration = copied.key == "configuration";
+            return !knownItem.removed
+                && (isConfiguration ? std::stoul(copied.value) > std::stoul(knownItem.value) : knownItem.value != "draining");
+        };
         callbacks.onSourceLost = [](TimePoint) {
         };
         callbacks.onSourceRestored = [] {
@@ -315,7 +330,7 @@
                      [this, &node, askedAt = time.clock.now(), process = node.process](const SimulatedSource::Result &result) {
                          time.after(CallTime, [this, &node, askedAt, process, result] {
                              runIn(node, process, [&node, askedAt, result] {
-                                 if (!result.historyLost) {
+                                 if (!result.historyLost && result.era == node.sync->feed(FeedId::Configuration).era()) {
                                      node.sync->onSourceContact(FeedId::Configuration);
                                      node.sync->onSourceChanges(FeedId::Configuration, result.changes, result.revision);
                                      node.sync->onSourceConfirmed(askedAt);
@@ -363,7 +378,14 @@
             const auto removed = node.removedAt.find(change.key);
             const bool goesBack = known != applied.end() && known->second.revision > change.revision;
             const bool returns = removed != node.removedAt.end() && change.revision < removed->second;
-            regressions += goesBack || returns ? 1 : 0;
+            if (source.era() > 0) {
+                // Revisions of different eras cannot be compared, but the versions of the configuration can.
+                regressions += known != applied.end() && feed == FeedId::Configuration
+                    && std::stoul(known->second.value) > std::stoul(change.value);
+                regressions += goneForGood.contains(change.key) ? 1 : 0;
+            } else {
+                regressions += goesBack || returns ? 1 : 0;
+            }
             applied[change.key] = change;
         }
         if (feed == FeedId::Instances) {
@@ -468,14 +490,15 @@
                 if (node.readingRun != run) {
                     return;
                 }
-                if (result.historyLost) {
+                const bool isOtherEra = !readWhole && result.era != node.sync->feed(feed).era();
+                if (result.historyLost || isOtherEra) {
                     next(randomTime(0, 200), true, Duration(0));
                     return;
                 }
                 node.failures = 0;
                 node.sync->onSourceContact(feed);
                 if (readWhole) {
-                    node.sync->onSourceRead(feed, result.changes, result.revision);
+                    node.sync->onSourceRead(feed, result.changes, result.revision, result.era);
                 } else {
                     node.sync->onSourceChanges(feed, result.changes, result.revision);
                 }
--- a/tests/quota/quota_test.cpp
+++ b/tests/quota/quota_test.cpp
@@ -60,7 +60,7 @@
         const std::vector<Workspace> before{workspace("small", 10, 10), workspace("large", 100, 100)};
         QuotaFleet fleet({.seed = FirstSeed + schedule}, before);
         // Both workspaces send many times their quota.
-        const std::vector<std::pair<std::string, double>> load{{"small", 75}, {"large", 400}};
+        const std::vector<std::pair<std::string, double>> hotLoad{{"small", 75}, {"large", 400}};
         const unsigned publishedAt = fleet.random(12);
         TimePoint lowerLimitBinds = TimePoint::max();
         std::vector<Workspace> after = before;
@@ -97,7 +97,7 @@
                 fleet.publish(after);
                 lowerLimitBinds = fleet.time.clock.now() + 2500ms + 5s;
             }
-            sendRequests(fleet, load, std::chrono::milliseconds(200 + fleet.random(1500)));
+            sendRequests(fleet, hotLoad, std::chrono::milliseconds(200 + fleet.random(1500)));
             if (fleet.random(2) == 0 && !fleet.isRunning(victim)) {
                 fleet.startNode(victim);
                 fleet.list(victim);
--- a/tests/relay/servingqueue_test.cpp
+++ b/tests/relay/servingqueue_test.cpp
@@ -165,3 +165,55 @@
 
     DOUBLES_EQUAL(0.0, queue.report().pressure, 1e-9);
 }
+
+// Guards against a workspace that sends many times its usual and fills the queue, so that the others wait or are refused because of it.
+TEST(ServingQueue, AWorkspaceThatSendsTooMuchWaitsForItself)
+{
+    learnHoldingTime(100ms);
+    occupyAllSlots();
+    unsigned refusedOfHot = 0;
+    for (int number = 0; number < 40; ++number) {
+        ServingRequest hot = request(1, false);
+        hot.workspace = "hot";
+        refusedOfHot += queue.offer(hot) == ServingDecision::Wait ? 0 : 1;
+    }
+    CHECK(refusedOfHot > 0);
+    ServingRequest other = request(1, false);
+    other.workspace = "other";
+
+    CHECK(queue.offer(other) == ServingDecision::Wait);
+
+    // The first of "hot" has the same tag and came earlier.
+    queue.finish(1 + 50, true);
+    queue.finish(2 + 50, true);
+    bool otherStarted = false;
+    for (const ServingQueue::Change &change : queue.poll()) {
+        otherStarted = otherStarted || (change.id == other.id && change.decision == ServingDecision::Start);
+    }
+    CHECK(otherStarted);
+}
+
+// Guards against requests without a workspace that no longer start in the order of their arrival.
+TEST(ServingQueue, RequestsOfOneWorkspaceStartInTheOrderOfTheirArrival)
+{
+    for (const char *workspace : {"", "growers"}) {
+        ServingQueue ordered(ServingQueueOptions{}, clock);
+        ordered.setSlots(2);
+        CHECK(ordered.offer(request(2, false)) == ServingDecision::Start);
+        std::vector<CallId> offered;
+        for (int number = 0; number < 5; ++number) {
+            ServingRequest next = request(1, false);
+            next.workspace = workspace;
+            offered.push_back(next.id);
+            CHECK(ordered.offer(next) == ServingDecision::Wait);
+        }
+        std::vector<CallId> started;
+        CallId running = offered.front() - 1;
+        for (int number = 0; number < 5; ++number) {
+            ordered.finish(running, true);
+            running = ordered.poll().front().id;
+            started.push_back(running);
+        }
+        CHECK(started == offered);
+    }
+}
