--- a/src/net/httplimits.h
+++ b/src/net/httplimits.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/bufferbudget.h"
+#include "net/connectionledger.h"
 
 #include <chrono>
 #include <cstddef>
@@ -28,6 +29,8 @@
     // Bounds the bytes of all messages that are buffered together. A request waits unread until there is room, a response that does not fit
     // is cut off. Null for no common bound.
     std::shared_ptr<BufferBudget> bufferBudget;
+    // Bounds the connections of several listeners together. Null for no common bound.
+    std::shared_ptr<ConnectionLedger> connectionLedger = nullptr;
 };
 
 } // namespace wisteriafork
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -26,7 +26,8 @@
 
     static std::shared_ptr<HttpServerConnection> acceptConnection(Socket socket, const std::shared_ptr<HttpServerShared> &shared)
     {
-        if (shared->openConnections >= shared->limits.connections) {
+        const std::shared_ptr<ConnectionLedger> &ledger = shared->limits.connectionLedger;
+        if (shared->openConnections >= shared->limits.connections || (ledger && !ledger->makeRoom())) {
             return nullptr;
         }
         auto connection = std::make_shared<HttpServerConnection>(std::move(socket), shared);
--- a/src/net/httpserverconnection.cpp
+++ b/src/net/httpserverconnection.cpp
@@ -65,6 +65,7 @@
     , m_reader(m_shared->limits)
     , m_timer(m_socket.get_executor())
     , m_reservation(m_shared->limits.bufferBudget)
+    , m_ledgerEntry(m_shared->limits.connectionLedger)
     , m_roomTimer(m_socket.get_executor())
 {
     ++m_shared->openConnections;
@@ -85,10 +86,23 @@
         self->m_socket.non_blocking(true, error);
         self->m_timer.setHandler(self, [connection = self.get()] { connection->onDeadline(); });
         self->m_timer.expireAfter(self->m_shared->limits.idleTimeout);
+        self->beginWait();
         self->waitForInput();
     });
 }
 
+void HttpServerConnection::beginWait()
+{
+    m_ledgerEntry.beginWait([weak = weak_from_this(), strand = m_socket.get_executor()] {
+        asio::post(strand, [weak] {
+            const auto self = weak.lock();
+            if (self && (self->m_phase == Phase::Reading || self->m_phase == Phase::Lingering)) {
+                self->close();
+            }
+        });
+    });
+}
+
 void HttpServerConnection::stop()
 {
     asio::dispatch(m_socket.get_executor(), [self = shared_from_this()] {
@@ -229,6 +243,7 @@
 void HttpServerConnection::startRequest()
 {
     m_phase = Phase::Handling;
+    m_ledgerEntry.endWait();
     m_timer.clearDeadline();
     m_keepAlive = m_keepAlive && m_reader.isKeepAlive();
     auto exchange = std::make_shared<Exchange>(shared_from_this());
@@ -268,6 +283,7 @@
 void HttpServerConnection::writeResponse(HttpResponse response, bool isHeadRequest, bool keepAlive)
 {
     m_phase = Phase::Writing;
+    m_ledgerEntry.endWait();
     m_keepAlive = keepAlive;
     m_response = std::move(response);
     m_head = responseHead(m_response, {.isHeadRequest = isHeadRequest, .keepAlive = keepAlive, .http10 = m_reader.isHttp10()});
@@ -296,6 +312,7 @@
         return;
     }
     m_phase = Phase::Reading;
+    beginWait();
     m_response = {};
     m_reader.startNextRequest();
     m_timer.expireAfter(m_shared->limits.idleTimeout);
@@ -308,6 +325,7 @@
 void HttpServerConnection::linger()
 {
     m_phase = Phase::Lingering;
+    beginWait();
     m_input.clear();
     m_timer.expireAfter(LingerTime);
     ErrorCode error;
@@ -330,6 +348,7 @@
         return;
     }
     m_phase = Phase::Closed;
+    m_ledgerEntry.endWait();
     m_exchange.reset();
     m_timer.cancel();
     m_roomTimer.cancel();
--- a/src/net/httpserverconnection.h
+++ b/src/net/httpserverconnection.h
@@ -87,6 +87,8 @@
     // Shuts down the sending side and discards input until the sender closes the connection.
     void linger();
     void onDeadline();
+    // The connection waits for its sender, and may be closed if others need its room.
+    void beginWait();
     void close();
 
     Socket m_socket;
@@ -103,6 +105,7 @@
     // Request in progress. The handler owns it, and it owns the connection; a strong reference here would be a cycle.
     std::weak_ptr<Exchange> m_exchange;
     BufferReservation m_reservation;
+    ConnectionLedger::Entry m_ledgerEntry;
     Timer m_roomTimer;
     Phase m_phase = Phase::Reading;
     bool m_waitsForRoom = false;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -32,9 +32,10 @@
 constexpr std::size_t MaxBodyBytes = std::size_t{64} * 1024 * 1024;
 constexpr std::chrono::seconds CallerIdleTimeout{120};
 
-HttpLimits callerLimits(std::shared_ptr<BufferBudget> bufferBudget)
+HttpLimits callerLimits(const RelaySettings &settings, std::shared_ptr<BufferBudget> bufferBudget)
 {
     HttpLimits limits;
+    limits.connectionLedger = std::make_shared<ConnectionLedger>(settings.maxCallerConnections);
     limits.bufferBudget = std::move(bufferBudget);
     limits.requestBodyBytes = MaxBodyBytes;
     limits.responseBodyBytes = MaxBodyBytes;
@@ -42,6 +43,14 @@
     return limits;
 }
 
+// The readiness check and the metrics have room of their own, so that callers cannot make a node look dead.
+HttpLimits readinessLimits(const RelaySettings &settings)
+{
+    HttpLimits limits;
+    limits.connectionLedger = std::make_shared<ConnectionLedger>(settings.maxReadinessConnections);
+    return limits;
+}
+
 HttpClientOptions serverOptions(const RelaySettings &settings, std::shared_ptr<BufferBudget> bufferBudget)
 {
     HttpClientOptions options{.server = settings.serverEndpoint,
@@ -81,10 +90,10 @@
         , node(context, std::move(settings), clock, log, std::move(callbacks), server, peerPool)
         , parts(node.parts())
         , readiness([this] { return parts.routes != nullptr && !parts.stopping && !draining; }, [this] { return node.metricsText(); })
-        , callerServer(context, node.callerHandler(), callerLimits(bufferBudget))
+        , callerServer(context, node.callerHandler(), callerLimits(parts.settings, bufferBudget))
         , peerServer(context, node.peerHandler(), peerOptions(parts.settings, bufferBudget))
-        , readinessServer(context, readiness, HttpLimits{})
-        , metricsServer(context, readiness.metrics(), HttpLimits{})
+        , readinessServer(context, readiness, readinessLimits(parts.settings))
+        , metricsServer(context, readiness.metrics(), readinessLimits(parts.settings))
         , pollTimer(context, PollInterval, [this] { pollRequests(); })
         , tickTimer(context, TickInterval, [this] { node.tick(); })
     {
@@ -202,7 +211,7 @@
 
 void Relay::setCallerLimits(const CallerLimits &limits)
 {
-    const HttpLimits defaults = callerLimits(nullptr);
+    const HttpLimits defaults = callerLimits(m_impl->parts.settings, nullptr);
     m_impl->callerServer.setRequestBounds(limits.headerBytes != 0 ? limits.headerBytes : defaults.headerBytes,
                                           limits.bodyBytes != 0 ? std::min(limits.bodyBytes, MaxBodyBytes) : MaxBodyBytes);
 }
--- a/src/relay/relaysettings.h
+++ b/src/relay/relaysettings.h
@@ -47,6 +47,10 @@
     Incarnation incarnation = 0;
     // Bytes of all requests and responses that the node buffers together, apart from small ones.
     std::size_t bufferBytes = std::size_t{64} * 1024 * 1024;
+    // Connections of callers, and of those who ask for readiness, that may be open at the same time. Beyond it, the one that has waited
+    // longest for its caller is closed.
+    std::size_t maxCallerConnections = 4096;
+    std::size_t maxReadinessConnections = 64;
     EdgeAdmissionOptions admission;
     InstanceDirectoryOptions directory;
     PlacementOptions placement;
