--- a/src/core/workspace/workspacetable.cpp
+++ b/src/core/workspace/workspacetable.cpp
@@ -30,11 +30,12 @@
     for (std::size_t index = 0; index < m_workspaces.size(); ++index) {
         m_indexByName.emplace(m_workspaces[index].name, index);
         for (const KeyDigest &digest : m_workspaces[index].keys) {
-            auto *known = const_cast<Entry *>(findEntry(digest));
-            if (known == nullptr) {
-                m_entriesByPrefix.emplace(prefixOf(digest), Entry{.digest = digest, .workspace = index});
-            } else if (known->workspace != index && !known->ambiguous) {
-                known->ambiguous = true;
+            const std::optional<std::size_t> known = findEntry(digest);
+            if (!known) {
+                m_entryByPrefix.emplace(prefixOf(digest), m_entries.size());
+                m_entries.push_back({.digest = digest, .workspace = index});
+            } else if (m_entries[*known].workspace != index && !m_entries[*known].ambiguous) {
+                m_entries[*known].ambiguous = true;
                 ++m_ambiguousKeys;
             }
         }
@@ -43,8 +44,8 @@
 
 const Workspace *WorkspaceTable::findByKey(std::string_view key) const
 {
-    const Entry *entry = findEntry(digestOfKey(key));
-    return entry == nullptr || entry->ambiguous ? nullptr : &m_workspaces[entry->workspace];
+    const std::optional<std::size_t> found = findEntry(digestOfKey(key));
+    return found && !m_entries[*found].ambiguous ? &m_workspaces[m_entries[*found].workspace] : nullptr;
 }
 
 const Workspace *WorkspaceTable::findByName(std::string_view name) const
@@ -53,15 +54,15 @@
     return found == m_indexByName.end() ? nullptr : &m_workspaces[found->second];
 }
 
-const WorkspaceTable::Entry *WorkspaceTable::findEntry(const KeyDigest &digest) const
+std::optional<std::size_t> WorkspaceTable::findEntry(const KeyDigest &digest) const
 {
-    const auto [begin, end] = m_entriesByPrefix.equal_range(prefixOf(digest));
-    for (auto entry = begin; entry != end; ++entry) {
-        if (CRYPTO_memcmp(entry->second.digest.data(), digest.data(), digest.size()) == 0) {
-            return &entry->second;
+    const auto [begin, end] = m_entryByPrefix.equal_range(prefixOf(digest));
+    for (auto candidate = begin; candidate != end; ++candidate) {
+        if (CRYPTO_memcmp(m_entries[candidate->second].digest.data(), digest.data(), digest.size()) == 0) {
+            return candidate->second;
         }
     }
-    return nullptr;
+    return std::nullopt;
 }
 
 } // namespace wisteriafork
--- a/src/core/workspace/workspacetable.h
+++ b/src/core/workspace/workspacetable.h
@@ -60,12 +60,13 @@
         bool ambiguous = false;
     };
 
-    // Entry with the digest; null if there is none.
-    const Entry *findEntry(const KeyDigest &digest) const;
+    // Index of the entry with the digest; empty if there is none.
+    std::optional<std::size_t> findEntry(const KeyDigest &digest) const;
 
     std::vector<Workspace> m_workspaces;
+    std::vector<Entry> m_entries;
     // Indices of the entries by the first bytes of the digest.
-    std::unordered_multimap<std::uint64_t, Entry> m_entriesByPrefix;
+    std::unordered_multimap<std::uint64_t, std::size_t> m_entryByPrefix;
     std::unordered_map<std::string_view, std::size_t> m_indexByName;
     std::size_t m_ambiguousKeys = 0;
 };
