--- a/src/core/published/publishedfeed.cpp
+++ b/src/core/published/publishedfeed.cpp
@@ -122,12 +122,12 @@
         const auto known = m_content.find(copied.key);
         const bool wasRemoved = known == m_content.end() && std::ranges::find(m_removedKeys, copied.key) != m_removedKeys.end();
         const PublishedChange former = known != m_content.end() ? known->second : PublishedChange{.key = copied.key, .removed = wasRemoved};
-        if (known == m_content.end() && !wasRemoved) {
+        const bool isNew = known == m_content.end() && !wasRemoved;
+        const bool isUnchanged = known != m_content.end() && former.value == copied.value;
+        if (isNew || (!isUnchanged && mayReplace(former, copied))) {
             differences.push_back(copied);
-        } else if (wasRemoved && !mayReplace(former, copied)) {
+        } else if (wasRemoved) {
             continue;
-        } else if (wasRemoved || (former.value != copied.value && mayReplace(former, copied))) {
-            differences.push_back(copied);
         } else {
             copied.value = former.value;
         }
--- a/tests/quota/quotafleet.h
+++ b/tests/quota/quotafleet.h
@@ -45,7 +45,7 @@
         node.lender = std::make_unique<QuotaLender>(m_options.bounds, addressOf(number), time.clock);
         node.borrower = std::make_unique<QuotaBorrower>(
             m_options.bounds, QuotaBorrowerOptions{}, addressOf(number), time.clock, *node.ranking,
-            [this, number](const std::string &address, const QuotaRequest &request, QuotaBorrower::ResponseHandler handler) {
+            [this, number](const std::string &address, const QuotaRequest &request, const QuotaBorrower::ResponseHandler &handler) {
                 send(number, numberOf(address), request, handler);
             });
         applyList(node);
