Deliver an answer in the quota model only to the process that has asked

Cause: in the model, an answer that was under way while its asker restarted called the handler of the destroyed borrower; the address sanitizer reported a use after free. In a real node the process ends with its handlers.

--- a/tests/quota/quotafleet.h
+++ b/tests/quota/quotafleet.h
@@ -290,16 +290,21 @@
         const auto reaches = [this, from, to] {
             return m_nodes[from].isCut == m_nodes[to].isCut;
         };
+        // The answer reaches only the process that has asked.
+        const auto deliver = [this, from, process = m_nodes[from].process, handler](const std::optional<QuotaResponse> &response) {
+            time.after(std::chrono::milliseconds(1 + random(12)),
+                       [this, from, process, handler, response] { run(from, process, [handler, response] { handler(response); }); });
+        };
         if (!m_nodes[to].borrower && reaches()) {
-            later(from, 10, [handler] { handler(std::nullopt); });
+            deliver(std::nullopt);
             return;
         }
         if (!reaches()) {
             return;
         }
-        later(to, 12, [this, from, to, request, handler, reaches] {
+        later(to, 12, [this, to, request, deliver, reaches] {
             if (reaches()) {
-                later(from, 12, [handler, response = m_nodes[to].lender->lend(request)] { handler(response); });
+                deliver(m_nodes[to].lender->lend(request));
             }
         });
     }
