--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -371,6 +371,7 @@
         self.zone = zone
         self.service = service
         self.process = None
+        self.memory_mb = 260
         # Each host calls the store at an address of its own, so that the store can tell them apart.
         self.store_host = f"{fleet.network}.{100 + number}"
         self.starts = 0
@@ -383,7 +384,7 @@
             "Listen": {"Inbound": f"{self.address}:{INBOUND_PORT}", "Outbound": f"{self.address}:{OUTBOUND_PORT}",
                        "ReadinessAddr": f"{self.address}:{READINESS_PORT}"},
             "PortRange": PEER_PORTS, "Seeds": [], "Bootstrap": self.starts == 0, "LossCounts": False,
-            "Limits": {"CpuShare": 0.4, "CpuCores": 1, "MemoryMb": 260, "MaxFds": 4100, "LinkMbps": 1000.0, "DiskMb": 0},
+            "Limits": {"CpuShare": 0.4, "CpuCores": 1, "MemoryMb": self.memory_mb, "MaxFds": 4100, "LinkMbps": 1000.0, "DiskMb": 0},
             "DataDir": None, "Discovery": "platform", "EntryPoint": "static", "HeartbeatS": 1.5,
             "Contracts": ["base", "drain", "config", "cost", "retry", "recover", "pressure", "platform"],
             "FaultTolerance": {"Machines": 1, "Zones": 0, "Regions": 0},
