Answer everything that a stopping node has accepted before its process ends

What callers saw: a node got SIGTERM, and of 8 orders that it read a second later 2 lost their connections 5.6 s after the signal without an answer.

Cause: the end of the grace period ended the process and nothing else.

Change: a second before the last answers are due, requests that may outlast the process neither start nor wait. What waits here is refused or given back to the node that sent it; what waits at other nodes is withdrawn, and only the node that holds the queue says that a request has not run. At the end every open request is answered with what is known of it, and requests of which a part has arrived are refused.

Tests on the code before: RelayStop.* failed, 4 of 4 (no answer; status 0 instead of 503).

--- a/src/net/connectionacceptor.h
+++ b/src/net/connectionacceptor.h
@@ -38,7 +38,7 @@
         };
         const auto onStopped = [weak] {
             if (const auto self = weak.lock()) {
-                self->stopConnections();
+                self->forEachConnection(self->m_callbacks.stopConnection);
             }
         };
         acceptor->m_listener
@@ -51,6 +51,21 @@
         return *m_listener;
     }
 
+    // Calls the action for each open connection.
+    void forEachConnection(const std::function<void(Connection &)> &action)
+    {
+        std::vector<std::weak_ptr<Connection>> open;
+        {
+            const std::lock_guard lock(m_mutex);
+            open = m_connections;
+        }
+        for (const auto &weak : open) {
+            if (const auto connection = weak.lock()) {
+                action(*connection);
+            }
+        }
+    }
+
 private:
     explicit ConnectionAcceptor(Callbacks callbacks) : m_callbacks(std::move(callbacks))
     {
@@ -70,20 +85,6 @@
         m_connections.push_back(connection);
     }
 
-    void stopConnections()
-    {
-        std::vector<std::weak_ptr<Connection>> open;
-        {
-            const std::lock_guard lock(m_mutex);
-            open.swap(m_connections);
-        }
-        for (const auto &weak : open) {
-            if (const auto connection = weak.lock()) {
-                m_callbacks.stopConnection(*connection);
-            }
-        }
-    }
-
     // Size of the list at which closed connections are removed for the first time. The next threshold is twice the number of remaining
     // connections plus this number, so the amortized cost per connection is constant.
     static constexpr std::size_t MinPruneThreshold = 16;
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -70,6 +70,11 @@
     m_impl->shared->closeAfterResponses = true;
 }
 
+void HttpServer::refuseUnfinishedRequests()
+{
+    m_impl->acceptor->forEachConnection([](HttpServerConnection &connection) { connection.refuseUnfinishedRequest(); });
+}
+
 void HttpServer::stop()
 {
     m_impl->shared->closeAfterResponses = true;
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -25,6 +25,8 @@
     void setRequestBounds(std::size_t headerBytes, std::size_t bodyBytes);
     // Makes each connection close after its next response. The server still accepts connections.
     void closeAfterResponses();
+    // Responds with 503 to the requests that have arrived in part, and closes their connections. Such a request has not been passed on.
+    void refuseUnfinishedRequests();
     // Stops listening. Connections close after their current response, idle ones after a short time.
     void stop();
     // Number of open connections.
--- a/src/net/httpserverconnection.cpp
+++ b/src/net/httpserverconnection.cpp
@@ -28,8 +28,8 @@
 // has given back is used.
 constexpr std::chrono::milliseconds HeldRoomWaitLimit{200};
 constexpr std::chrono::milliseconds RoomRefusalInterval{60};
-// Value of Retry-After for a request that was refused for lack of room, in seconds.
-constexpr const char *RoomRetryAfterSeconds = "0.5";
+// Value of Retry-After for a request that was refused before it was read completely, in seconds.
+constexpr const char *UnreadRetryAfterSeconds = "0.5";
 
 } // namespace
 
@@ -208,17 +208,31 @@
     }
     processInput();
     if (m_phase == Phase::Reading && m_waitsForRoom && mustGiveUpWaiting()) {
-        m_waitsForRoom = false;
-        m_roomTimer.cancel();
-        HttpResponse response = errorResponse(503, "there is no room for the body of the request");
-        response.headers.add("retry-after", RoomRetryAfterSeconds);
-        m_reader.startNextRequest();
-        m_reservation = BufferReservation(m_shared->limits.bufferBudget);
-        writeResponse(std::move(response), false, false);
+        refuseUnread("there is no room for the body of the request");
     }
     waitForInput();
 }
 
+void HttpServerConnection::refuseUnread(std::string_view message)
+{
+    m_waitsForRoom = false;
+    m_roomTimer.cancel();
+    HttpResponse response = errorResponse(503, message);
+    response.headers.add("retry-after", UnreadRetryAfterSeconds);
+    m_reader.startNextRequest();
+    m_reservation = BufferReservation(m_shared->limits.bufferBudget);
+    writeResponse(std::move(response), false, false);
+}
+
+void HttpServerConnection::refuseUnfinishedRequest()
+{
+    asio::dispatch(m_socket.get_executor(), [self = shared_from_this()] {
+        if (self->m_phase == Phase::Reading && self->m_reader.hasStarted()) {
+            self->refuseUnread("the request did not arrive before the process ends");
+        }
+    });
+}
+
 bool HttpServerConnection::hasSenderLeft()
 {
     pollfd descriptor{.fd = m_socket.native_handle(), .events = POLLRDHUP, .revents = 0};
--- a/src/net/httpserverconnection.h
+++ b/src/net/httpserverconnection.h
@@ -46,6 +46,8 @@
     // Closes the connection after the response to its current request, or after a short time if there is none. May be called from any
     // thread.
     void stop();
+    // Refuses a request that has arrived in part and closes the connection. Does nothing in any other state. May be called from any thread.
+    void refuseUnfinishedRequest();
 
 private:
     class Exchange;
@@ -78,6 +80,8 @@
     // block each other, so they give up sooner, one after another.
     bool mustGiveUpWaiting();
     void startRequest();
+    // Refuses a request that was not read completely, with the promise that it has not run, and closes the connection after the response.
+    void refuseUnread(std::string_view message);
     // Sends an error response and closes the connection after it.
     void rejectInput(unsigned status, std::string_view message);
     void sendContinue();
--- a/src/observability/eventcatalogue.cpp
+++ b/src/observability/eventcatalogue.cpp
@@ -19,6 +19,7 @@
 constexpr FieldNames<2> DrainFinishedFields{"openRequests", "seconds"};
 constexpr FieldNames<3> ListenerFailedFields{"listener", "address", "error"};
 constexpr FieldNames<1> HandlerFailedFields{"error"};
+constexpr FieldNames<3> WaitingRequestsRefusedFields{"unsent", "sent", "queuedHere"};
 constexpr FieldNames<2> ConfigurationFields{"version", "source"};
 constexpr FieldNames<2> OlderConfigurationFields{"version", "inForce"};
 constexpr FieldNames<3> FingerprintFields{"fingerprint", "service", "crashes"};
@@ -44,6 +45,7 @@
 constexpr FieldNames<4> ServerCallOverdueFields{"request", "route", "instance", "milliseconds"};
 constexpr FieldNames<4> SentRequestRefusedFields{"request", "route", "status", "attempts"};
 constexpr FieldNames<2> SourceRestoredFromCopyFields{"era", "revision"};
+constexpr FieldNames<2> RequestsWithdrawnFields{"address", "requests"};
 constexpr FieldNames<1> QuotaLenderSilentFields{"address"};
 constexpr FieldNames<6> ServingLoadFields{"limit", "running", "queued", "waitMs", "pressure", "openCalls"};
 
@@ -55,6 +57,7 @@
     EventDescription{Number::DrainCancelled, "drain-cancelled", Severity::Info, ReasonFields},
     EventDescription{Number::ListenerFailed, "listener-failed", Severity::Error, ListenerFailedFields},
     EventDescription{Number::HandlerFailed, "handler-failed", Severity::Error, HandlerFailedFields},
+    EventDescription{Number::WaitingRequestsRefused, "waiting-requests-refused", Severity::Info, WaitingRequestsRefusedFields},
     EventDescription{Number::ConfigurationInForce, "configuration-in-force", Severity::Info, ConfigurationFields},
     EventDescription{Number::OlderConfigurationIgnored, "older-configuration-ignored", Severity::Warning, OlderConfigurationFields},
     EventDescription{Number::RequestSuspected, "request-suspected", Severity::Warning, FingerprintFields},
@@ -83,6 +86,7 @@
     EventDescription{Number::ServerCallOverdue, "server-call-overdue", Severity::Warning, ServerCallOverdueFields},
     EventDescription{Number::SentRequestRefused, "sent-request-refused", Severity::Info, SentRequestRefusedFields},
     EventDescription{Number::SourceRestoredFromCopy, "source-restored-from-copy", Severity::Warning, SourceRestoredFromCopyFields},
+    EventDescription{Number::RequestsWithdrawn, "requests-withdrawn", Severity::Info, RequestsWithdrawnFields},
     EventDescription{Number::QuotaLenderSilent, "quota-lender-silent", Severity::Info, QuotaLenderSilentFields},
 };
 
--- a/src/observability/eventnumber.h
+++ b/src/observability/eventnumber.h
@@ -14,6 +14,7 @@
     DrainCancelled = 104,
     ListenerFailed = 106,
     HandlerFailed = 107,
+    WaitingRequestsRefused = 108,
     // Configuration
     ConfigurationInForce = 300,
     OlderConfigurationIgnored = 304,
@@ -47,6 +48,7 @@
     ServerCallOverdue = 1014,
     SentRequestRefused = 1015,
     SourceRestoredFromCopy = 1016,
+    RequestsWithdrawn = 1017,
     // Quotas of workspaces
     QuotaLenderSilent = 1100,
 };
--- a/src/relay/attemptoutcome.h
+++ b/src/relay/attemptoutcome.h
@@ -33,6 +33,8 @@
     SuspectedOfCrash,
     // The node or the backend server could not be reached, so the request was not processed.
     Unreachable,
+    // The node that sent the request has withdrawn it, because its process ends, before it was sent to the backend server.
+    Withdrawn,
 };
 
 // What proves that a request was not executed and will not be executed later.
@@ -90,6 +92,8 @@
         return "leaving";
     case NotExecutedReason::SuspectedOfCrash:
         return "suspected-of-crash";
+    case NotExecutedReason::Withdrawn:
+        return "withdrawn";
     case NotExecutedReason::Unreachable:
         break;
     }
--- a/src/relay/callerhandler.cpp
+++ b/src/relay/callerhandler.cpp
@@ -1,6 +1,6 @@
 #include "relay/callerhandler.h"
 
-#include <vector>
+#include <algorithm>
 
 namespace wisteriafork {
 
@@ -45,6 +45,26 @@
     }
 }
 
+std::size_t CallerHandler::refuseUnsentCalls()
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_calls, [](const auto &entry) { return entry.second->refuseIfUnsent(); }));
+}
+
+std::set<std::string> CallerHandler::peersOfLateCalls() const
+{
+    std::set<std::string> addresses;
+    for (const auto &[tag, call] : m_calls) {
+        call->addPeersIfLate(addresses);
+    }
+    addresses.erase(m_parts.ownPeerAddress);
+    return addresses;
+}
+
+std::size_t CallerHandler::answerOpenCalls()
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_calls, [](const auto &entry) { return entry.second->answerNow(); }));
+}
+
 void CallerHandler::pollCalls()
 {
     std::erase_if(m_calls, [](const auto &entry) {
--- a/src/relay/callerhandler.h
+++ b/src/relay/callerhandler.h
@@ -25,6 +25,12 @@
     // Handles the timers of the open calls that are due (time-outs, hedged requests, waits for an instance) and drops finished calls.
     // Call every 20 ms.
     void pollCalls();
+    // The process ends soon: refuses the calls that may last beyond its end and that wait without having been sent. Returns their number.
+    std::size_t refuseUnsentCalls();
+    // Addresses of the other nodes to which open calls that may last beyond the end of the process were sent.
+    std::set<std::string> peersOfLateCalls() const;
+    // The process ends now: responds to each open call, with what is known of its execution. Returns their number.
+    std::size_t answerOpenCalls();
 
     bool isIdle() const
     {
--- a/src/relay/peergateway.cpp
+++ b/src/relay/peergateway.cpp
@@ -1,5 +1,6 @@
 #include "relay/peergateway.h"
 
+#include "net/codec.h"
 #include "relay/relayheaders.h"
 
 namespace wisteriafork {
@@ -99,12 +100,22 @@
                  });
 }
 
+void PeerGateway::withdrawRequests(const std::string &address, const Withdrawal &withdrawal)
+{
+    notify(address, WithdrawPath, encodeMessage(withdrawal));
+}
+
 void PeerGateway::sendSuspects(const std::string &address, const std::string &encodedSuspects)
+{
+    notify(address, SuspectsPath, encodedSuspects);
+}
+
+void PeerGateway::notify(const std::string &address, const char *path, std::string body)
 {
     HttpHeaders fields;
-    fields.add(":path", SuspectsPath);
+    fields.add(":path", path);
     auto request = std::make_shared<HttpRequest>();
-    request->body = encodedSuspects;
+    request->body = std::move(body);
     m_peers.send(address, std::move(request), std::move(fields), [](const tl::expected<HttpResponse, ExchangeError> &) {});
 }
 
--- a/src/relay/peergateway.h
+++ b/src/relay/peergateway.h
@@ -6,6 +6,7 @@
 #include "relay/changestext.h"
 #include "relay/relayparts.h"
 #include "relay/relayrequest.h"
+#include "relay/withdrawal.h"
 
 #include <memory>
 #include <optional>
@@ -29,11 +30,17 @@
     void requestChanges(const std::string &address, ChangesText request, std::function<void(std::optional<ChangesText>)> handler);
     // Asks the node at `address` for tokens of workspaces. The handler is called once, with nothing if there is no answer.
     void askForQuota(const std::string &address, std::string request, std::function<void(std::optional<std::string>)> handler);
+    // Withdraws the requests that this node has sent to the node at `address` and that have not started there. The answers to them say
+    // whether they were withdrawn; an error of this message is ignored, because it is repeated.
+    void withdrawRequests(const std::string &address, const Withdrawal &withdrawal);
     // Sends reports on requests that are suspected of crashing backend servers to a node. Errors are ignored, because the node that
     // found a suspect repeats its reports.
     void sendSuspects(const std::string &address, const std::string &encodedSuspects);
 
 private:
+    // Sends a message whose response says nothing.
+    void notify(const std::string &address, const char *path, std::string body);
+
     RelayParts &m_parts;
     PeerSender &m_peers;
 };
@@ -44,6 +51,8 @@
 constexpr const char *ChangesPath = "/changes";
 // Path at which nodes ask each other for tokens of workspaces with a quota.
 constexpr const char *QuotaPath = "/quota";
+// Path at which nodes withdraw requests that have not started.
+constexpr const char *WithdrawPath = "/withdraw";
 // Path at which nodes receive reports on requests that are suspected of crashing backend servers.
 constexpr const char *SuspectsPath = "/suspects";
 
--- a/src/relay/peerhandler.cpp
+++ b/src/relay/peerhandler.cpp
@@ -53,6 +53,15 @@
         exchange->respond({.status = 204});
         return;
     }
+    if (exchange->request->target == WithdrawPath) {
+        if (const auto withdrawal = decodeMessage<Withdrawal>(exchange->request->body)) {
+            m_serving.withdraw(withdrawal->sender, m_parts.clock.now() + withdrawal->remaining);
+        } else {
+            m_parts.log.write(EventNumber::MessageMalformed, {exchange->remoteAddress, "the withdrawal is malformed"});
+        }
+        exchange->respond({.status = 204});
+        return;
+    }
     const std::string revisions(exchange->request->headers.find(RevisionsField));
     exchange->request->headers.remove(RevisionsField);
     std::optional<RelayRequest> request = decodeRelayRequest(exchange->request, m_parts.settings.headers, m_parts.clock.now());
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -23,8 +23,17 @@
 constexpr std::chrono::milliseconds LeavingPeriod{150};
 // Time for idle connections of callers to be closed gracefully.
 constexpr std::chrono::milliseconds ClosingPeriod{700};
+// Time before the end of the grace period at which all requests that are still open get their answers.
+constexpr std::chrono::milliseconds AnswerMargin{400};
 // Time before the end of the grace period at which the process ends by itself instead of being killed.
-constexpr std::chrono::milliseconds StopMargin{400};
+constexpr std::chrono::milliseconds EndMargin{200};
+// Time before the last answers at which requests that wait are refused, so that their callers can still send them elsewhere, and its
+// largest share of the grace period. It allows some round trips to the nodes at which they wait.
+constexpr std::chrono::milliseconds WaitMargin{1000};
+constexpr int WaitMarginDivisor = 6;
+constexpr std::chrono::milliseconds WaitRefusalInterval{100};
+// Time for callers to receive the last answers before their connections are closed.
+constexpr std::chrono::milliseconds AnsweringPeriod{100};
 // More connections than the backend server has slots, because a connection is abandoned after some failures.
 constexpr std::size_t MaxServerConnections = 512;
 // The backend server is on this host, so that a connection is established at once or not at all.
@@ -81,6 +90,8 @@
         Leaving,
         // All accepted requests are answered; idle connections of callers are closed.
         Closing,
+        // Requests that are still open or have arrived in part have their answers, which are being written.
+        Answering,
     };
 
     Impl(asio::io_context &context, RelaySettings settings, EventLog &log, RelayNode::Callbacks callbacks)
@@ -108,16 +119,32 @@
     }
 
     // Advances the shutdown. First only the readiness check fails, so that callers go elsewhere while other nodes can still reach the
-    // instance. Then other nodes are notified, and the process ends as soon as the responses to all accepted requests are written.
+    // instance. Then other nodes are notified, and the process ends as soon as the responses to all accepted requests are written. Near
+    // the end of the grace period, requests that wait are refused, and then the others are answered with what is known of them.
     void advanceStop()
     {
         const TimePoint now = clock.now();
+        parts.refusesCallers = stopPhase == StopPhase::Answering || now - stopStartTime >= parts.settings.stop.callerAcceptPeriod;
+        if (now >= nextWaitRefusal) {
+            nextWaitRefusal = now + WaitRefusalInterval;
+            node.refuseWaitingRequests();
+            callerServer.refuseUnfinishedRequests();
+        }
+        const bool atAnswerTime = now >= parts.stopDeadline;
+        if (atAnswerTime) {
+            brokenOffRequests += node.answerOpenRequests();
+        }
         const bool idle = node.isIdle() && peerServer.openStreamCount() == 0 && callerServer.writingConnectionCount() == 0;
-        parts.refusesCallers = now - stopStartTime >= parts.settings.stop.callerAcceptPeriod;
-        const bool atTimeLimit = now >= parts.stopDeadline;
-        const bool callersClosed = callerServer.connectionCount() == 0 || now - phaseStartTime >= ClosingPeriod;
-        if (atTimeLimit || (stopPhase == StopPhase::Closing && idle && callersClosed)) {
+        const auto callersClosed = [&](Duration period) {
+            return callerServer.connectionCount() == 0 || now - phaseStartTime >= period;
+        };
+        if (now >= stopStartTime + parts.settings.stop.gracePeriod - EndMargin
+            || (stopPhase == StopPhase::Answering && idle && callersClosed(AnsweringPeriod))) {
             endStop();
+        } else if (stopPhase != StopPhase::Answering
+                   && (atAnswerTime || (stopPhase == StopPhase::Closing && idle && callersClosed(ClosingPeriod)))) {
+            enterStopPhase(StopPhase::Answering);
+            callerServer.refuseUnfinishedRequests();
         } else if (stopPhase == StopPhase::CallerNotice && now - stopStartTime >= parts.settings.stop.peerAcceptPeriod) {
             enterStopPhase(StopPhase::Leaving);
             parts.leaving = true;
@@ -138,15 +165,10 @@
     void endStop()
     {
         const Duration elapsedTime = clock.now() - stopStartTime;
-        const std::size_t openRequests = node.openRequestCount();
+        const std::size_t openRequests = brokenOffRequests + node.openRequestCount();
         parts.log.write(
             EventNumber::DrainFinished,
             {std::to_string(openRequests), std::to_string(std::chrono::duration_cast<std::chrono::seconds>(elapsedTime).count())});
-        finish(openRequests);
-    }
-
-    void finish(std::size_t openRequests)
-    {
         pollTimer.stop();
         tickTimer.stop();
         server.stop();
@@ -172,6 +194,9 @@
     std::function<void(std::size_t)> onStopped;
     TimePoint stopStartTime;
     TimePoint phaseStartTime;
+    TimePoint nextWaitRefusal;
+    // Requests that were answered without an outcome because the process ends.
+    std::size_t brokenOffRequests = 0;
     StopPhase stopPhase = StopPhase::CallerNotice;
     bool draining = false;
 };
@@ -236,7 +261,9 @@
     m_impl->parts.stopping = true;
     m_impl->onStopped = std::move(onStopped);
     m_impl->stopStartTime = m_impl->clock.now();
-    m_impl->parts.stopDeadline = m_impl->stopStartTime + m_impl->parts.settings.stop.gracePeriod - StopMargin;
+    const Duration gracePeriod = m_impl->parts.settings.stop.gracePeriod;
+    m_impl->parts.stopDeadline = m_impl->stopStartTime + gracePeriod - AnswerMargin;
+    m_impl->nextWaitRefusal = m_impl->parts.stopDeadline - std::min<Duration>(WaitMargin, gracePeriod / WaitMarginDivisor);
     m_impl->parts.log.write(EventNumber::DrainStarted, {"signal"});
 }
 
--- a/src/relay/relaycall.cpp
+++ b/src/relay/relaycall.cpp
@@ -116,6 +116,9 @@
 
 bool RelayCall::sendToNextInstance()
 {
+    if (!m_parts.mayStart(m_deadline)) {
+        return false;
+    }
     if (m_trialFingerprint) {
         const Instance *trial = trialServer(m_parts.directory.instancesOf(m_service), *m_trialFingerprint);
         if (trial == nullptr || !m_triedInstances.empty()) {
@@ -241,7 +244,8 @@
     if (hasOpenAttempt()) {
         return;
     }
-    const bool final = result.reason == NotExecutedReason::TooLate || result.reason == NotExecutedReason::SuspectedOfCrash;
+    const bool final = result.reason == NotExecutedReason::TooLate || result.reason == NotExecutedReason::SuspectedOfCrash
+        || result.reason == NotExecutedReason::Withdrawn;
     const bool mayContinue = !final && m_reroutes < MaxReroutes && (!refusedByServer || claimRetry());
     ++m_reroutes;
     if (!mayContinue || m_parts.clock.now() + MinRemainingTime > m_deadline || !sendToNextInstance()) {
@@ -297,15 +301,14 @@
     const auto self = shared_from_this();
     const TimePoint now = m_parts.clock.now();
     if (now >= m_deadline) {
-        if (hasOpenAttempt()) {
-            m_mayHaveExecuted = true;
-        }
-        respondWithOutcome();
+        answerNow();
         return;
     }
     if (m_waitsForInstance) {
         if (sendToNextInstance()) {
             m_waitsForInstance = false;
+        } else if (!m_parts.mayStart(m_deadline)) {
+            respondWithOutcome();
         } else if (now >= m_instanceWaitDeadline) {
             m_parts.metrics.count(RelayCounter::NoInstance);
             refuse({.reason = RefusalReason::NoInstance, .event = "no-instance"});
@@ -320,6 +323,39 @@
     }
 }
 
+bool RelayCall::refuseIfUnsent()
+{
+    if (m_finished || m_parts.mayStart(m_deadline) || hasOpenAttempt()) {
+        return false;
+    }
+    const auto self = shared_from_this();
+    respondWithOutcome();
+    return true;
+}
+
+void RelayCall::addPeersIfLate(std::set<std::string> &addresses) const
+{
+    if (m_parts.mayStart(m_deadline)) {
+        return;
+    }
+    for (const Attempt &attempt : m_attempts) {
+        if (attempt.open) {
+            addresses.insert(attempt.peerAddress);
+        }
+    }
+}
+
+bool RelayCall::answerNow()
+{
+    if (m_finished) {
+        return false;
+    }
+    const auto self = shared_from_this();
+    m_mayHaveExecuted = m_mayHaveExecuted || hasOpenAttempt();
+    respondWithOutcome();
+    return true;
+}
+
 void RelayCall::onCallerGone()
 {
     if (!m_finished) {
--- a/src/relay/relaycall.h
+++ b/src/relay/relaycall.h
@@ -7,6 +7,7 @@
 #include "relay/relayparts.h"
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,13 @@
     // Handles the time-out of the request, a hedged request or a wait for an instance, if one is due. Call every 20 ms.
     void handleDueTimers();
 
+    // The process ends soon: refuses the request if it may last beyond the end and no attempt at it is open. True if it was refused.
+    bool refuseIfUnsent();
+    // Adds the addresses of the nodes to which the request was sent if it may last beyond the end of the process.
+    void addPeersIfLate(std::set<std::string> &addresses) const;
+    // Responds with what is known of the execution of the request: its time is up, or the process ends. False if it has its response.
+    bool answerNow();
+
     // True once the response was sent or the caller has gone.
     bool isFinished() const
     {
--- a/src/relay/relaycallanswers.cpp
+++ b/src/relay/relaycallanswers.cpp
@@ -28,6 +28,8 @@
 {
     if (m_failureResponse) {
         relayResponse(std::move(*m_failureResponse), RelayCounter::FailedByServer);
+    } else if (!m_mayHaveExecuted && !m_parts.mayStart(m_deadline)) {
+        refuse({.reason = RefusalReason::Draining, .event = "stopping"});
     } else if (!m_mayHaveExecuted) {
         m_parts.metrics.count(RelayCounter::RefusedLater);
         refuse({.reason = RefusalReason::Overloaded, .event = "not-run"});
--- a/src/relay/relayheaders.cpp
+++ b/src/relay/relayheaders.cpp
@@ -22,7 +22,7 @@
 constexpr const char *FailureField = "wf-failure";
 constexpr const char *EvidenceField = "wf-evidence";
 constexpr std::string_view UnknownFailure = "unknown";
-constexpr std::int64_t LastReason = static_cast<std::int64_t>(NotExecutedReason::Unreachable);
+constexpr std::int64_t LastReason = static_cast<std::int64_t>(NotExecutedReason::Withdrawn);
 constexpr std::int64_t LastEvidence = static_cast<std::int64_t>(NotExecutedEvidence::ServerMisdirected);
 
 constexpr double PressureScale = 1000.0;
--- a/src/relay/relaynode.cpp
+++ b/src/relay/relaynode.cpp
@@ -87,6 +87,25 @@
                          pressure, std::to_string(callerRequestHandler.openCallCount())});
     }
 
+    void refuseWaitingRequests()
+    {
+        const bool isFirst = !std::exchange(parts.refusesWaiting, true);
+        const std::size_t queuedHere = servingGateway.refuseWaiting();
+        const std::size_t unsent = callerRequestHandler.refuseUnsentCalls();
+        if (isFirst) {
+            parts.log.write(
+                EventNumber::WaitingRequestsRefused,
+                {std::to_string(unsent), std::to_string(callerRequestHandler.openCallCount() - unsent), std::to_string(queuedHere)});
+        }
+        // Repeated, because a request may still be on its way to the node when its withdrawal arrives there.
+        const Withdrawal withdrawal{.sender = parts.ownPeerAddress,
+                                    .remaining
+                                    = std::chrono::duration_cast<std::chrono::microseconds>(parts.stopDeadline - parts.clock.now())};
+        for (const std::string &address : callerRequestHandler.peersOfLateCalls()) {
+            peerGateway.withdrawRequests(address, withdrawal);
+        }
+    }
+
     void requestSnapshot(const std::string &address)
     {
         if (std::exchange(awaitsSnapshot, true)) {
@@ -245,6 +264,16 @@
     m_impl->parts.publishedRevisions = std::move(revisions);
 }
 
+void RelayNode::refuseWaitingRequests()
+{
+    m_impl->refuseWaitingRequests();
+}
+
+std::size_t RelayNode::answerOpenRequests()
+{
+    return m_impl->callerRequestHandler.answerOpenCalls();
+}
+
 bool RelayNode::isIdle() const
 {
     return m_impl->callerRequestHandler.isIdle() && m_impl->servingGateway.isIdle();
--- a/src/relay/relaynode.h
+++ b/src/relay/relaynode.h
@@ -87,6 +87,12 @@
     // Sets the text with the revisions of the published state that this node adds to its messages to other nodes; none while it is empty.
     void setPublishedRevisions(std::string revisions);
 
+    // The process ends soon: refuses the requests that wait, here or at other nodes, and that may last beyond `RelayParts::stopDeadline`,
+    // as not executed. Call every 100 ms from about a second before that time.
+    void refuseWaitingRequests();
+    // The process ends now: responds to each request that entered here, with what is known of its execution. Returns their number.
+    std::size_t answerOpenRequests();
+
     // True if no request that entered here and none on the local backend server is open.
     bool isIdle() const;
     // Number of requests that entered here, plus those queued for or running on the local backend server.
--- a/src/relay/relayparts.h
+++ b/src/relay/relayparts.h
@@ -91,12 +91,20 @@
     bool stopping = false;
     // New requests of callers are refused, because they might not finish before the process ends.
     bool refusesCallers = false;
-    // Time at which the process ends at the latest, once it shuts down. Calls of the local backend server that may last longer are refused
-    // with the requests of callers.
+    // Time at which all requests without an answer get one, once the process shuts down. Calls of the local backend server that may last
+    // longer are refused with the requests of callers.
     TimePoint stopDeadline = TimePoint::max();
+    // Requests that may last beyond `stopDeadline` are neither started nor kept waiting.
+    bool refusesWaiting = false;
     // The process shuts down, and other nodes should send no further requests.
     bool leaving = false;
 
+    // False for a request that may last beyond the end of the process: it must not start or wait any longer.
+    bool mayStart(TimePoint deadline) const
+    {
+        return !refusesWaiting || deadline <= stopDeadline;
+    }
+
     // Version of the configuration in force, 0 if there is none.
     std::uint64_t configurationVersion() const
     {
--- a/src/relay/servinggateway.cpp
+++ b/src/relay/servinggateway.cpp
@@ -55,7 +55,7 @@
         asio::post(m_parts.context, [this, id] { finishCall(id, {.result = NotExecuted{.reason = NotExecutedReason::OtherInstance}}); });
         return id;
     }
-    if (isLeaving(m_calls.at(id).request.instance)) {
+    if (isLeaving(m_calls.at(id).request.instance) || !m_parts.mayStart(offered.deadline)) {
         asio::post(m_parts.context, [this, id] { finishCall(id, {.result = NotExecuted{.reason = NotExecutedReason::Leaving}}); });
         return id;
     }
@@ -103,7 +103,7 @@
 void ServingGateway::tick()
 {
     m_parts.queue.tick();
-    refuseCallsToLeavingInstances();
+    refuseQueuedCalls(NotExecutedReason::Leaving, [this](const RelayRequest &request) { return isLeaving(request.instance); });
     abortOverdueCalls();
     pollQueue();
 }
@@ -114,17 +114,34 @@
     return listed != nullptr ? listed->draining : m_parts.directory.wasRemoved(instance);
 }
 
-void ServingGateway::refuseCallsToLeavingInstances()
+void ServingGateway::withdraw(const std::string &sender, TimePoint end)
+{
+    const std::size_t withdrawn = refuseQueuedCalls(NotExecutedReason::Withdrawn, [&](const RelayRequest &request) {
+        return request.senderAddress == sender && request.deadline > end;
+    });
+    if (withdrawn > 0) {
+        m_parts.log.write(EventNumber::RequestsWithdrawn, {sender, std::to_string(withdrawn)});
+    }
+}
+
+std::size_t ServingGateway::refuseWaiting()
+{
+    return refuseQueuedCalls(NotExecutedReason::Leaving,
+                             [this](const RelayRequest &request) { return !m_parts.mayStart(request.deadline); });
+}
+
+std::size_t ServingGateway::refuseQueuedCalls(NotExecutedReason reason, const std::function<bool(const RelayRequest &)> &isConcerned)
 {
     std::vector<CallId> refused;
     for (const auto &[id, call] : m_calls) {
-        if (!call.running && isLeaving(call.request.instance) && m_parts.queue.withdraw(id)) {
+        if (!call.running && isConcerned(call.request) && m_parts.queue.withdraw(id)) {
             refused.push_back(id);
         }
     }
     for (const CallId id : refused) {
-        finishCall(id, {.result = NotExecuted{.reason = NotExecutedReason::Leaving}});
+        finishCall(id, {.result = NotExecuted{.reason = reason}});
     }
+    return refused.size();
 }
 
 void ServingGateway::abortOverdueCalls()
--- a/src/relay/servinggateway.h
+++ b/src/relay/servinggateway.h
@@ -5,6 +5,8 @@
 #include "relay/relayparts.h"
 #include "relay/relayrequest.h"
 
+#include <cstddef>
+#include <functional>
 #include <memory>
 #include <unordered_map>
 
@@ -23,6 +25,11 @@
     // Cancels a request; its handler is not called afterwards. A queued request never starts. A running one is aborted if it is idempotent;
     // otherwise it completes, or ends shortly after its deadline, and its response is discarded.
     void cancel(CallId id);
+    // Refuses the queued requests of the node at this address that may last beyond `end`, the end of its process.
+    void withdraw(const std::string &sender, TimePoint end);
+    // Refuses the queued requests that may last beyond the end of this process. Their senders choose other instances. Returns
+    // their number.
+    std::size_t refuseWaiting();
     // Starts or refuses queued requests as the queue decides. Call every 20 ms.
     void pollQueue();
     // Updates the pressure, refuses queued requests for instances that are draining, and ends running ones that are overdue. Call every
@@ -51,7 +58,8 @@
 
     // True if the instance is draining or no longer listed: requests that it has not started are sent to other instances.
     bool isLeaving(const std::string &instance) const;
-    void refuseCallsToLeavingInstances();
+    // Refuses the queued requests that `isConcerned` selects. Returns their number.
+    std::size_t refuseQueuedCalls(NotExecutedReason reason, const std::function<bool(const RelayRequest &)> &isConcerned);
     // Aborts running requests that the backend server should have answered by their deadline.
     void abortOverdueCalls();
     // Closes the connection of a running request and gives back what it holds, without calling its handler.
--- a/tests/relay/servinggateway_test.cpp
+++ b/tests/relay/servinggateway_test.cpp
@@ -61,15 +61,26 @@
 
     CallId serve(RequestKind kind)
     {
-        return gateway.serve({.http = std::make_shared<HttpRequest>(HttpRequest{.method = "POST", .target = "/book/1"}),
-                              .instance = "i-1",
-                              .route = "book",
-                              .kind = kind,
-                              .deadline = clock.now() + 1s},
-                             [this](const AttemptOutcome &outcome) {
-                                 ++outcomes;
-                                 refusals += std::holds_alternative<NotExecuted>(outcome.result) ? 1 : 0;
-                             });
+        return serve({.instance = "i-1", .route = "book", .kind = kind, .deadline = clock.now() + 1s});
+    }
+
+    CallId serve(RelayRequest request)
+    {
+        request.http = std::make_shared<HttpRequest>(HttpRequest{.method = "POST", .target = "/book/1"});
+        return gateway.serve(std::move(request), [this](const AttemptOutcome &outcome) {
+            ++outcomes;
+            if (const auto *notExecuted = std::get_if<NotExecuted>(&outcome.result)) {
+                ++refusals;
+                lastReason = notExecuted->reason;
+            }
+        });
+    }
+
+    // Serves a request that the node at this address has sent.
+    CallId serveFor(const char *sender, Duration timeToDeadline)
+    {
+        return serve(
+            {.instance = "i-1", .route = "book", .targetLatency = 60s, .deadline = clock.now() + timeToDeadline, .senderAddress = sender});
     }
 
     // Lets the time pass in steps in which the gateway is polled and ticked.
@@ -90,6 +101,7 @@
     ServingGateway gateway{parts, server};
     unsigned outcomes = 0;
     unsigned refusals = 0;
+    NotExecutedReason lastReason = NotExecutedReason::Unreachable;
 };
 
 } // namespace
@@ -303,3 +315,43 @@
     }
     running.stop();
 }
+
+// Guards against a withdrawal that says of a running request that it has not run, or that takes requests of other nodes with it.
+TEST(ServingGateway, WithdrawsOnlyTheWaitingRequestsOfTheEndingNode)
+{
+    SilentHost host(1);
+    host.serveFor("10.0.0.1:7", 60s);
+    host.serveFor("10.0.0.1:7", 60s);
+    host.serveFor("10.0.0.1:7", 3s);
+    host.serveFor("10.0.0.2:7", 60s);
+    LONGS_EQUAL(3, host.parts.queue.report().queuedRequests);
+
+    host.gateway.withdraw("10.0.0.1:7", host.clock.now() + 5s);
+
+    LONGS_EQUAL_TEXT(1, host.refusals, "only the second request waits, and may last beyond the end of its sender");
+    CHECK(host.lastReason == NotExecutedReason::Withdrawn);
+    LONGS_EQUAL(1, host.outcomes);
+    LONGS_EQUAL(1, host.server.sent);
+    LONGS_EQUAL(0, host.server.cancelled);
+    LONGS_EQUAL(2, host.parts.queue.report().queuedRequests);
+}
+
+// Guards against requests that wait at a node that is about to end, or come to it then, and are lost with it.
+TEST(ServingGateway, RefusesWaitingAndNewRequestsThatMayLastBeyondTheEndOfTheProcess)
+{
+    SilentHost host(1);
+    host.serveFor("10.0.0.1:7", 60s);
+    host.serveFor("10.0.0.1:7", 60s);
+    host.serveFor("10.0.0.2:7", 3s);
+    host.parts.stopDeadline = host.clock.now() + 5s;
+    host.parts.refusesWaiting = true;
+
+    LONGS_EQUAL(1, host.gateway.refuseWaiting());
+    host.serveFor("10.0.0.2:7", 60s);
+    host.context.run();
+
+    LONGS_EQUAL(2, host.refusals);
+    CHECK(host.lastReason == NotExecutedReason::Leaving);
+    LONGS_EQUAL(1, host.server.sent);
+    LONGS_EQUAL(1, host.parts.queue.report().queuedRequests);
+}
