Let nodes learn the suspects that they have missed

Cause: reports are sent four times within 0.6 s of a change and never again, so a node that does not run then, is cut off, or loses all four never learns. Nodes did not log a ban that they had only learned, so that a lost ban looked like one that was not taken over: each node now logs 700 to 702 for what it has seen or learned, and 703 for what an exchange has brought.

Change: each node asks one of 8 others about once a second, and six times after a start or a change, with a digest of what it knows. If the digests differ, it gets pages of all that the other node knows, and answers with what that lacks. Ids of crashes that count and of cleared ones both only grow, so that the order of messages does not matter. The second broadcast of a ban by every node that learned it (358,800 messages with 300 nodes) is gone. Times of trials are never brought forward by a crash that is learned late.

Why it works: what is missing shows in the next question, whatever the reason, and is repeated until the digests agree.

Tests: RelaySuspects.ANodeThatStartsLater... failed on the code before (the ban is not learned within 20 s).

--- a/src/core/crashguard/crashguard.cpp
+++ b/src/core/crashguard/crashguard.cpp
@@ -109,6 +109,21 @@
     return CrashSuspects{.suspects = std::move(reports)};
 }
 
+std::vector<SuspectReport> CrashGuard::takeChanges()
+{
+    return m_suspects.takeChanges(m_clock.now());
+}
+
+SuspectPage CrashGuard::reportsAfter(const std::optional<RequestKey> &fingerprint, std::size_t maximum) const
+{
+    return m_suspects.reportsAfter(fingerprint, maximum, m_clock.now());
+}
+
+std::uint64_t CrashGuard::digest() const
+{
+    return m_suspects.digest();
+}
+
 CrashSuspects CrashGuard::allReports() const
 {
     return {.suspects = m_suspects.allReports(m_clock.now())};
--- a/src/core/crashguard/crashguard.h
+++ b/src/core/crashguard/crashguard.h
@@ -63,8 +63,14 @@
     void onReportsReceived(const CrashSuspects &message);
     // Returns the reports to send now to the other nodes; empty if there are none. Call after each function above and after each tick.
     std::optional<CrashSuspects> takeReports();
-    // All reports, for a node that starts.
+    // Returns the fingerprints whose state has changed here since the last call, by crashes, completed calls or reports, for logs.
+    std::vector<SuspectReport> takeChanges();
+    // All that is known, for a node that knows less.
     CrashSuspects allReports() const;
+    // The same for the first `maximum` fingerprints after the given one, or of all.
+    SuspectPage reportsAfter(const std::optional<RequestKey> &fingerprint, std::size_t maximum) const;
+    // Equal for nodes that know the same crashes; 0 if no crash is known.
+    std::uint64_t digest() const;
     // Removes suspects and bans that have expired. Call every 100 ms.
     void tick();
 
--- a/src/observability/eventcatalogue.cpp
+++ b/src/observability/eventcatalogue.cpp
@@ -23,6 +23,7 @@
 constexpr FieldNames<2> ConfigurationFields{"version", "source"};
 constexpr FieldNames<2> OlderConfigurationFields{"version", "inForce"};
 constexpr FieldNames<3> FingerprintFields{"fingerprint", "service", "crashes"};
+constexpr FieldNames<3> SuspectsExchangedFields{"address", "received", "sent"};
 constexpr FieldNames<2> KeysReloadedFields{"listener", "subject"};
 constexpr FieldNames<2> KeyReloadFailedFields{"listener", "error"};
 constexpr FieldNames<2> MessageMalformedFields{"source", "error"};
@@ -63,6 +64,7 @@
     EventDescription{Number::RequestSuspected, "request-suspected", Severity::Warning, FingerprintFields},
     EventDescription{Number::RequestBlocked, "request-blocked", Severity::Error, FingerprintFields},
     EventDescription{Number::RequestCleared, "request-cleared", Severity::Info, FingerprintFields},
+    EventDescription{Number::SuspectsExchanged, "suspects-exchanged", Severity::Info, SuspectsExchangedFields},
     EventDescription{Number::KeysReloaded, "keys-reloaded", Severity::Info, KeysReloadedFields},
     EventDescription{Number::KeyReloadFailed, "key-reload-failed", Severity::Error, KeyReloadFailedFields},
     EventDescription{Number::MessageMalformed, "message-malformed", Severity::Warning, MessageMalformedFields},
--- a/src/observability/eventnumber.h
+++ b/src/observability/eventnumber.h
@@ -22,6 +22,7 @@
     RequestSuspected = 700,
     RequestBlocked = 701,
     RequestCleared = 702,
+    SuspectsExchanged = 703,
     // Network
     KeysReloaded = 802,
     KeyReloadFailed = 803,
--- a/src/relay/peergateway.cpp
+++ b/src/relay/peergateway.cpp
@@ -90,14 +90,12 @@
 
 void PeerGateway::askForQuota(const std::string &address, std::string request, std::function<void(std::optional<std::string>)> handler)
 {
-    HttpHeaders fields;
-    fields.add(":path", QuotaPath);
-    auto http = std::make_shared<HttpRequest>();
-    http->body = std::move(request);
-    m_peers.send(address, std::move(http), std::move(fields),
-                 [handler = std::move(handler)](tl::expected<HttpResponse, ExchangeError> result) {
-                     handler(result && result->status == 200 ? std::optional(std::move(result->body)) : std::nullopt);
-                 });
+    ask(address, QuotaPath, std::move(request), std::move(handler));
+}
+
+void PeerGateway::askForSuspects(const std::string &address, std::string question, std::function<void(std::optional<std::string>)> handler)
+{
+    ask(address, SuspectQuestionPath, std::move(question), std::move(handler));
 }
 
 void PeerGateway::withdrawRequests(const std::string &address, const Withdrawal &withdrawal)
@@ -110,6 +108,19 @@
     notify(address, SuspectsPath, encodedSuspects);
 }
 
+void PeerGateway::ask(const std::string &address, const char *path, std::string body,
+                      std::function<void(std::optional<std::string>)> handler)
+{
+    HttpHeaders fields;
+    fields.add(":path", path);
+    auto http = std::make_shared<HttpRequest>();
+    http->body = std::move(body);
+    m_peers.send(address, std::move(http), std::move(fields),
+                 [handler = std::move(handler)](tl::expected<HttpResponse, ExchangeError> result) {
+                     handler(result && result->status == 200 ? std::optional(std::move(result->body)) : std::nullopt);
+                 });
+}
+
 void PeerGateway::notify(const std::string &address, const char *path, std::string body)
 {
     HttpHeaders fields;
--- a/src/relay/peergateway.h
+++ b/src/relay/peergateway.h
@@ -30,6 +30,8 @@
     void requestChanges(const std::string &address, ChangesText request, std::function<void(std::optional<ChangesText>)> handler);
     // Asks the node at `address` for tokens of workspaces. The handler is called once, with nothing if there is no answer.
     void askForQuota(const std::string &address, std::string request, std::function<void(std::optional<std::string>)> handler);
+    // Asks the node at `address` which suspects it knows. The handler is called once, with nothing if there is no answer.
+    void askForSuspects(const std::string &address, std::string question, std::function<void(std::optional<std::string>)> handler);
     // Withdraws the requests that this node has sent to the node at `address` and that have not started there. The answers to them say
     // whether they were withdrawn; an error of this message is ignored, because it is repeated.
     void withdrawRequests(const std::string &address, const Withdrawal &withdrawal);
@@ -38,6 +40,8 @@
     void sendSuspects(const std::string &address, const std::string &encodedSuspects);
 
 private:
+    // Sends a question. The handler gets the body of the answer, or nothing if there is none.
+    void ask(const std::string &address, const char *path, std::string body, std::function<void(std::optional<std::string>)> handler);
     // Sends a message whose response says nothing.
     void notify(const std::string &address, const char *path, std::string body);
 
@@ -56,6 +60,9 @@
 // Path at which nodes receive reports on requests that are suspected of crashing backend servers.
 constexpr const char *SuspectsPath = "/suspects";
 
+// Path at which nodes ask each other for the suspects that they know.
+constexpr const char *SuspectQuestionPath = "/suspects/ask";
+
 // Options of the HTTP/2 sessions between relays.
 PeerOptions relayPeerOptions(const RelaySettings &settings);
 
--- a/src/relay/peerhandler.cpp
+++ b/src/relay/peerhandler.cpp
@@ -6,11 +6,13 @@
 
 namespace wisteriafork {
 
-PeerHandler::PeerHandler(RelayParts &parts, ServingGateway &serving, QuotaGateway &quotas, std::function<std::string()> snapshot,
+PeerHandler::PeerHandler(RelayParts &parts, ServingGateway &serving, QuotaGateway &quotas, SuspectGateway &suspects,
+                         std::function<std::string()> snapshot,
                          std::function<void(const ChangesText &, std::function<void(ChangesText)>)> onChangesRequested)
     : m_parts(parts)
     , m_serving(serving)
     , m_quotas(quotas)
+    , m_suspects(suspects)
     , m_snapshot(std::move(snapshot))
     , m_onChangesRequested(std::move(onChangesRequested))
 {
@@ -35,19 +37,15 @@
         return;
     }
     if (exchange->request->target == QuotaPath) {
-        std::string response = m_quotas.answer(exchange->request->body);
-        if (response.empty()) {
-            m_parts.log.write(EventNumber::MessageMalformed, {exchange->remoteAddress, "the question for tokens is malformed"});
-            exchange->respond({.status = 400});
-        } else {
-            exchange->respond({.status = 200, .body = std::move(response)});
-        }
+        respondToQuestion(*exchange, m_quotas.answer(exchange->request->body), "the question for tokens is malformed");
+        return;
+    }
+    if (exchange->request->target == SuspectQuestionPath) {
+        respondToQuestion(*exchange, m_suspects.answer(exchange->request->body), "the question for suspects is malformed");
         return;
     }
     if (exchange->request->target == SuspectsPath) {
-        if (const auto suspects = decodeMessage<CrashSuspects>(exchange->request->body)) {
-            m_parts.crashGuard.onReportsReceived(*suspects);
-        } else {
+        if (!m_suspects.receive(exchange->request->body)) {
             m_parts.log.write(EventNumber::MessageMalformed, {exchange->remoteAddress, "the report on suspects is malformed"});
         }
         exchange->respond({.status = 204});
@@ -83,6 +81,16 @@
     });
 }
 
+void PeerHandler::respondToQuestion(ServerExchange &exchange, std::string answer, const char *errorIfEmpty)
+{
+    if (answer.empty()) {
+        m_parts.log.write(EventNumber::MessageMalformed, {exchange.remoteAddress, errorIfEmpty});
+        exchange.respond({.status = 400});
+    } else {
+        exchange.respond({.status = 200, .body = std::move(answer)});
+    }
+}
+
 void PeerHandler::handleCancellation(ServerExchange &exchange)
 {
     if (exchange.tag != 0) {
--- a/src/relay/relaymetrics.cpp
+++ b/src/relay/relaymetrics.cpp
@@ -32,6 +32,8 @@
     "quota_questions",
     "quota_standby_questions",
     "quota_lender_silent",
+    "suspect_questions",
+    "suspect_differences",
 };
 
 template <typename Histogram>
--- a/src/relay/relaymetrics.h
+++ b/src/relay/relaymetrics.h
@@ -34,6 +34,8 @@
     QuotaQuestions,
     QuotaStandbyQuestions,
     QuotaLenderSilent,
+    SuspectQuestions,
+    SuspectDifferences,
     Count,
 };
 
--- a/src/relay/relaynode.cpp
+++ b/src/relay/relaynode.cpp
@@ -1,6 +1,5 @@
 #include "relay/relaynode.h"
 
-#include "net/codec.h"
 #include "net/endpoint.h"
 #include "relay/callerhandler.h"
 #include "relay/instancegateway.h"
@@ -8,8 +7,8 @@
 #include "relay/peerhandler.h"
 #include "relay/relayparts.h"
 #include "relay/servinggateway.h"
+#include "relay/suspectgateway.h"
 
-#include <cinttypes>
 #include <cstdio>
 
 namespace wisteriafork {
@@ -29,9 +28,11 @@
         , servingGateway(parts, server)
         , peerGateway(parts, peerSender)
         , quotaGateway(parts, peerGateway)
+        , suspectGateway(parts, peerGateway)
         , instanceGateway(parts, servingGateway, peerGateway)
         , callerRequestHandler(parts, instanceGateway)
-        , peerRequestHandler(parts, servingGateway, quotaGateway, std::move(callbacks.snapshot), std::move(callbacks.onChangesRequested))
+        , peerRequestHandler(parts, servingGateway, quotaGateway, suspectGateway, std::move(callbacks.snapshot),
+                             std::move(callbacks.onChangesRequested))
         , onSnapshotReceived(std::move(callbacks.onSnapshotReceived))
     {
         parts.quotas = &quotaGateway;
@@ -43,34 +44,6 @@
         parts.keyFreshness = callbacks.keyFreshness;
     }
 
-    void sendSuspectReports()
-    {
-        parts.crashGuard.tick();
-        if (const std::optional<CrashSuspects> reports = parts.crashGuard.takeReports()) {
-            const std::string encoded = encodeMessage(*reports);
-            for (const std::string &address : parts.directory.peerAddresses()) {
-                if (address != parts.ownPeerAddress) {
-                    peerGateway.sendSuspects(address, encoded);
-                }
-            }
-            for (const SuspectReport &report : reports->suspects) {
-                logSuspect(report);
-            }
-        }
-    }
-
-    void logSuspect(const SuspectReport &report)
-    {
-        const EventNumber event = report.state == SuspectState::Banned ? EventNumber::RequestBlocked
-            : report.state == SuspectState::Suspected                  ? EventNumber::RequestSuspected
-                                                                       : EventNumber::RequestCleared;
-        parts.log.writeDecision(event, false, [&] {
-            char fingerprint[40];
-            std::snprintf(fingerprint, sizeof(fingerprint), "%016" PRIx64 "%016" PRIx64, report.fingerprint.high, report.fingerprint.low);
-            return std::vector<std::string>{fingerprint, parts.settings.service.value(), std::to_string(report.crashes.size())};
-        });
-    }
-
     // Logs the load once a second while requests are open.
     void logLoad()
     {
@@ -123,6 +96,7 @@
     ServingGateway servingGateway;
     PeerGateway peerGateway;
     QuotaGateway quotaGateway;
+    SuspectGateway suspectGateway;
     InstanceGateway instanceGateway;
     CallerHandler callerRequestHandler;
     PeerHandler peerRequestHandler;
@@ -163,7 +137,7 @@
     m_impl->parts.retryBudget.setNodeCount(m_impl->parts.directory.size());
     m_impl->servingGateway.tick();
     m_impl->quotaGateway.tick();
-    m_impl->sendSuspectReports();
+    m_impl->suspectGateway.tick();
     m_impl->logLoad();
     if (const Instance *own = m_impl->parts.directory.findByAddress(endpointText(m_impl->parts.settings.serverEndpoint))) {
         m_impl->parts.queue.setSlots(own->slots);
--- a/tests/crashguard/properties_test.cpp
+++ b/tests/crashguard/properties_test.cpp
@@ -1,11 +1,14 @@
 #include "core/base/manualclock.h"
 #include "core/crashguard/crashguard.h"
+#include "core/crashguard/suspectexchange.h"
 
 #include <functional>
 #include <iostream>
 #include <map>
 #include <queue>
 #include <random>
+#include <set>
+#include <string>
 
 #include <rapidcheck.h>
 
@@ -33,7 +36,10 @@
             options.self = NodeId("inspekcija-" + std::to_string(index));
             options.incarnation = 1;
             options.suspectsRunAlone = suspectsRunAlone;
-            m_servers.push_back({.guard = std::make_unique<CrashGuard>(options, m_clock), .running = {}});
+            auto guard = std::make_unique<CrashGuard>(options, m_clock);
+            auto exchange = std::make_unique<SuspectExchange>(*guard, SuspectExchangeOptions{}, std::to_string(index), m_clock, index);
+            m_servers.push_back({.guard = std::move(guard), .exchange = std::move(exchange), .running = {}});
+            m_addresses.insert(std::to_string(index));
         }
     }
 
@@ -50,6 +56,7 @@
                 for (std::size_t index = 0; index < m_servers.size(); ++index) {
                     m_servers[index].guard->tick();
                     sendReports(index);
+                    askIfDue(index);
                 }
             });
         }
@@ -83,6 +90,7 @@
     struct Server
     {
         std::unique_ptr<CrashGuard> guard;
+        std::unique_ptr<SuspectExchange> exchange;
         std::map<CallId, std::uint64_t> running;
         bool up = true;
     };
@@ -179,9 +187,35 @@
         }
     }
 
+    // Sends a message that may be lost.
+    void deliver(std::function<void()> action)
+    {
+        if (static_cast<int>(m_random() % 1000) >= m_lossPerMille) {
+            schedule(m_clock.now() + randomDuration(1, 20), std::move(action));
+        }
+    }
+
+    void askIfDue(std::size_t from)
+    {
+        if (!m_servers[from].exchange->isQuestionDue()) {
+            return;
+        }
+        const std::size_t to = std::stoul(m_servers[from].exchange->beginQuestion(m_addresses).value());
+        deliver([this, from, to, question = m_servers[from].exchange->question()] {
+            deliver([this, from, to, answer = m_servers[to].exchange->answer(question)] {
+                if (const auto difference = m_servers[from].exchange->onAnswer(answer)) {
+                    for (const CrashSuspects &reply : difference->replies) {
+                        deliver([this, to, reply] { m_servers[to].guard->onReportsReceived(reply); });
+                    }
+                }
+            });
+        });
+    }
+
     ManualClock m_clock;
     std::mt19937_64 m_random;
     int m_lossPerMille;
+    std::set<std::string> m_addresses;
     std::vector<Server> m_servers;
     std::priority_queue<Event> m_events;
     std::uint64_t m_sequence = 0;
