Play planned stops with waiting requests in the fault soak

The soak of real processes played planned stops with requests that take milliseconds, so that none waited when its node ended, and it took a request without an answer for lost only if it had run.

--- a/src/lab/faults/faultsoak.cpp
+++ b/src/lab/faults/faultsoak.cpp
@@ -13,29 +13,44 @@
 namespace {
 
 constexpr std::array<SoakMode, 4> Modes{SoakMode::Mixed, SoakMode::Links, SoakMode::Signals, SoakMode::Planned};
-// Each seed with this remainder plays cancellations instead of one of the modes above.
-constexpr std::uint64_t CancellationsDivisor = 12;
+// Seeds with these remainders play other modes than those above.
+constexpr std::uint64_t OtherModesDivisor = 12;
+constexpr std::uint64_t WaitsRemainder = 10;
 constexpr std::uint64_t CancellationsRemainder = 11;
 // Time between the start of the processes and the first request, for the nodes to read their configuration.
 constexpr std::chrono::milliseconds WarmUpTime{300};
 // Time after the last request in which a request that was refused could still run: the longest deadline, and the time after it for which a
 // node keeps a connection open.
 constexpr std::chrono::milliseconds SettlingTime{3500};
+constexpr std::chrono::milliseconds WaitsSettlingTime{11'000};
 constexpr unsigned MinServices = 2;
 constexpr std::size_t MaxLogLinesPerFinding = 12;
 
 SoakMode modeOf(std::uint64_t seed)
 {
-    return seed % CancellationsDivisor == CancellationsRemainder ? SoakMode::Cancellations : Modes[seed % Modes.size()];
+    switch (seed % OtherModesDivisor) {
+    case WaitsRemainder:
+        return SoakMode::Waits;
+    case CancellationsRemainder:
+        return SoakMode::Cancellations;
+    default:
+        return Modes[seed % Modes.size()];
+    }
 }
 
 SoakClientOptions clientOptions(SoakMode mode)
 {
     SoakClientOptions options;
-    if (mode == SoakMode::Planned) {
+    if (hasPlannedStopsOnly(mode)) {
         options.partialShare = 0.0;
         options.abandonShare = 0.0;
-    } else if (mode == SoakMode::Cancellations) {
+    }
+    if (mode == SoakMode::Waits) {
+        // Longer than the grace period of a node, and within the time-out of the routes.
+        options.minDeadline = std::chrono::milliseconds(5000);
+        options.maxDeadline = std::chrono::milliseconds(8500);
+    }
+    if (mode == SoakMode::Cancellations) {
         options.abandonShare = 0.7;
         options.maxPatience = std::chrono::milliseconds(12);
         options.maxThinkTime = std::chrono::milliseconds(4);
@@ -57,7 +72,7 @@
 {
     asio::io_context context(1);
     const auto services = static_cast<unsigned>(MinServices + m_seed / Modes.size() % 2);
-    SoakDeployment deployment(context, m_options, m_directory, m_seed, services);
+    SoakDeployment deployment(context, m_options, m_directory, {.seed = m_seed, .services = services, .mode = m_mode});
     deployment.start();
     context.run_for(WarmUpTime);
     const auto endTime = std::chrono::steady_clock::now() + m_options.loadTime;
@@ -80,7 +95,7 @@
     troublemaker.start(endTime);
     context.run_until(endTime);
     troublemaker.repair();
-    context.run_for(SettlingTime);
+    context.run_for(m_mode == SoakMode::Waits ? WaitsSettlingTime : SettlingTime);
 
     FaultSoakResult result;
     std::vector<SoakRequest> requests;
--- a/src/lab/faults/soakclient.cpp
+++ b/src/lab/faults/soakclient.cpp
@@ -14,8 +14,6 @@
 constexpr std::chrono::milliseconds ConnectTimeout{1000};
 // Time after its deadline for which a client waits for the final response.
 constexpr std::chrono::milliseconds ResponseSlack{1500};
-constexpr std::chrono::milliseconds MinDeadline{400};
-constexpr std::chrono::milliseconds MaxDeadline{2000};
 constexpr std::size_t MaxBodyBytes = 4000;
 // Share of the requests that may run once only.
 constexpr double BookingShare = 0.7;
@@ -86,7 +84,7 @@
     record.method = booking ? "POST" : "GET";
     record.target = "/" + m_options.services[drawNumber(0, m_options.services.size() - 1)] + (booking ? "/book/" : "/view/") + record.id;
     HttpRequest request(booking ? http::verb::post : http::verb::get, record.target, 11);
-    m_deadline = drawTime(MinDeadline, MaxDeadline);
+    m_deadline = drawTime(m_options.minDeadline, m_options.maxDeadline);
     request.set(http::field::host, "localhost");
     request.set("X-Lab-Request", record.id);
     request.set("Wf-Request-Id", record.id);
@@ -144,7 +142,9 @@
     parser.body_limit(MaxResponseBytes);
     m_stream->expires_after(patience);
     boost::system::error_code error;
+    const auto sentAt = std::chrono::steady_clock::now();
     co_await http::async_read(*m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    record.waited = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - sentAt);
     if (error) {
         record.timedOut = error == beast::error::timeout;
         record.connectionEnded = !record.timedOut;
--- a/src/lab/faults/soakclient.h
+++ b/src/lab/faults/soakclient.h
@@ -28,6 +28,9 @@
     std::chrono::milliseconds maxPatience{300};
     // Upper limit of the time between two requests.
     std::chrono::milliseconds maxThinkTime{60};
+    // Bounds of the time for which it waits for a response.
+    std::chrono::milliseconds minDeadline{400};
+    std::chrono::milliseconds maxDeadline{2000};
     std::uint64_t seed = 1;
 };
 
--- a/src/lab/faults/soakdeployment.cpp
+++ b/src/lab/faults/soakdeployment.cpp
@@ -21,8 +21,10 @@
 constexpr unsigned ServerQueue = 2;
 constexpr unsigned ListedSlots = 8;
 constexpr unsigned ServiceTimeMicroseconds = 15'000;
+constexpr unsigned LongServiceTimeMicroseconds = 900'000;
 constexpr unsigned PaddingBytes = 20'000;
 constexpr unsigned CallersWaitMilliseconds = 1500;
+constexpr unsigned LongCallersWaitMilliseconds = 9000;
 constexpr unsigned GraceMilliseconds = 4000;
 constexpr std::chrono::seconds StartTimeout{10};
 
@@ -50,12 +52,13 @@
 } // namespace
 
 SoakDeployment::SoakDeployment(asio::io_context &context, const FaultSoakOptions &options, std::filesystem::path directory,
-                               std::uint64_t seed, unsigned services)
-    : m_options(options), m_directory(std::move(directory))
+                               const SoakDeploymentOptions &deploymentOptions)
+    : m_options(options), m_directory(std::move(directory)), m_hasLongWaits(deploymentOptions.mode == SoakMode::Waits)
 {
+    const std::uint64_t seed = deploymentOptions.seed;
     std::filesystem::remove_all(m_directory);
     std::filesystem::create_directories(m_directory);
-    for (unsigned service = 0; service < services; ++service) {
+    for (unsigned service = 0; service < deploymentOptions.services; ++service) {
         m_services.push_back("s" + std::to_string(service));
         for (std::size_t number = 0; number < HostsPerService; ++number) {
             m_hosts.push_back({.name = m_services.back() + "-" + std::to_string(number)});
@@ -109,27 +112,18 @@
 
 std::string SoakDeployment::questionnaire() const
 {
+    const unsigned callersWait = m_hasLongWaits ? LongCallersWaitMilliseconds : CallersWaitMilliseconds;
     nlohmann::json services = nlohmann::json::array();
     for (std::size_t index = 0; index < m_services.size(); ++index) {
         const std::string prefix = "/" + m_services[index] + "/";
         const nlohmann::json calls
             = index + 1 < m_services.size() ? nlohmann::json::array({m_services[index + 1]}) : nlohmann::json::array();
-        const nlohmann::json booking{{"id", "book"},
-                                     {"method", "POST"},
-                                     {"pathPrefix", prefix + "book"},
-                                     {"purpose", "booking"},
-                                     {"importance", "high"},
-                                     {"idempotent", false},
-                                     {"calls", calls},
-                                     {"callersWaitMs", CallersWaitMilliseconds}};
-        const nlohmann::json view{{"id", "view"},
-                                  {"method", "GET"},
-                                  {"pathPrefix", prefix + "view"},
-                                  {"purpose", "read"},
-                                  {"importance", "normal"},
-                                  {"idempotent", true},
-                                  {"calls", calls},
-                                  {"callersWaitMs", CallersWaitMilliseconds}};
+        const nlohmann::json booking{
+            {"id", "book"},        {"method", "POST"}, {"pathPrefix", prefix + "book"}, {"purpose", "booking"}, {"importance", "high"},
+            {"idempotent", false}, {"calls", calls},   {"callersWaitMs", callersWait}};
+        const nlohmann::json view{
+            {"id", "view"},       {"method", "GET"}, {"pathPrefix", prefix + "view"}, {"purpose", "read"}, {"importance", "normal"},
+            {"idempotent", true}, {"calls", calls},  {"callersWaitMs", callersWait}};
         services.push_back({{"id", m_services[index]},
                             {"pathPrefix", prefix},
                             {"instances", HostsPerService},
@@ -187,7 +181,7 @@
                                      "--queue",
                                      std::to_string(ServerQueue),
                                      "--service-time-us",
-                                     std::to_string(ServiceTimeMicroseconds),
+                                     std::to_string(m_hasLongWaits ? LongServiceTimeMicroseconds : ServiceTimeMicroseconds),
                                      "--seed",
                                      std::to_string(seed),
                                      "--journal",
--- a/src/lab/faults/soakdeployment.h
+++ b/src/lab/faults/soakdeployment.h
@@ -3,7 +3,9 @@
 #include "lab/commandline.h"
 #include "lab/faults/childprocess.h"
 #include "lab/faults/faultlink.h"
+#include "lab/faults/soakmode.h"
 
+#include <cstdint>
 #include <filesystem>
 #include <memory>
 #include <string>
@@ -27,13 +29,21 @@
     std::uint16_t clientPort = 0;
 };
 
+// What distinguishes the deployments of the runs.
+struct SoakDeploymentOptions
+{
+    std::uint64_t seed = 0;
+    unsigned services = 0;
+    SoakMode mode = SoakMode::Planned;
+};
+
 // The processes and links of one run: a chain of services in which each booking makes a booking at the next service, with two hosts for
 // each service. Writes all files into the directory, which it empties first.
 class SoakDeployment
 {
 public:
-    SoakDeployment(boost::asio::io_context &context, const FaultSoakOptions &options, std::filesystem::path directory, std::uint64_t seed,
-                   unsigned services);
+    SoakDeployment(boost::asio::io_context &context, const FaultSoakOptions &options, std::filesystem::path directory,
+                   const SoakDeploymentOptions &deploymentOptions);
 
     // Starts all processes and links. Throws std::runtime_error if a node does not accept connections in time.
     void start();
@@ -59,6 +69,8 @@
 
     const FaultSoakOptions &m_options;
     const std::filesystem::path m_directory;
+    // Requests wait long for a slot.
+    const bool m_hasLongWaits;
     std::vector<std::string> m_services;
     std::vector<SoakHost> m_hosts;
 };
--- a/src/lab/faults/soakjudge.cpp
+++ b/src/lab/faults/soakjudge.cpp
@@ -13,6 +13,9 @@
 // Statuses that promise that a request has not run and never will.
 constexpr std::array<unsigned, 4> PromiseStatuses{408, 421, 429, 503};
 
+// Time after which the end of a connection is no crossing of the request and the end: the node had read the request.
+constexpr std::chrono::milliseconds CrossingTime{200};
+
 bool isPromise(unsigned status)
 {
     return std::ranges::find(PromiseStatuses, status) != PromiseStatuses.end();
@@ -65,12 +68,15 @@
         if (request.method == "POST") {
             judgeRefusal(request.id, request.status);
         }
-        if (m_mode == SoakMode::Planned && request.timedOut && !request.abandoned) {
+        if (hasPlannedStopsOnly(m_mode) && request.timedOut && !request.abandoned) {
             report("SILENT", request.id, "no response within the deadline of the client");
         }
-        // A request that crosses the end of its connection does not run.
-        if (m_mode == SoakMode::Planned && request.sentWhole && request.connectionEnded && !request.abandoned && hasRun(request.id)) {
-            report("LOST", request.id, "the connection ended without a complete response; ran on " + serversOf(request.id));
+        // A request that crosses the end of its connection does not run, and its connection ends at once.
+        const bool wasTaken = hasRun(request.id) || request.waited > CrossingTime;
+        if (hasPlannedStopsOnly(m_mode) && request.sentWhole && request.connectionEnded && !request.abandoned && wasTaken) {
+            report("LOST", request.id,
+                   "the connection ended without a complete response after " + std::to_string(request.waited.count()) + " ms; "
+                       + (hasRun(request.id) ? "ran on " + serversOf(request.id) : "has not run"));
         }
     }
 
--- a/src/lab/faults/soakjudge.h
+++ b/src/lab/faults/soakjudge.h
@@ -14,8 +14,9 @@
 struct SoakFinding
 {
     // REFUSED: refused with a status that promises that the request does not run, and ran. TWICE: a request that may run once only ran
-    // again. MIXED: a response that is not that of the request, or not whole. LOST: a request that ran got no response although only
-    // planned stops happened. UNASKED: a run that no client asked for, or with another method, target or body. SILENT: no response at all.
+    // again. MIXED: a response that is not that of the request, or not whole. LOST: a request that ran, or that a node had read,
+    // got no response although only planned stops happened. UNASKED: a run that no client asked for, or with another method, target or
+    // body. SILENT: no response at all.
     std::string rule;
     std::string requestId;
     std::string text;
--- a/src/lab/faults/troublemaker.cpp
+++ b/src/lab/faults/troublemaker.cpp
@@ -53,7 +53,7 @@
         if (processesFail) {
             asio::co_spawn(m_context, troubleProcess(*host.node, host.name + " node", true), asio::detached);
         }
-        if (processesFail && m_mode != SoakMode::Planned) {
+        if (processesFail && !hasPlannedStopsOnly(m_mode)) {
             asio::co_spawn(m_context, troubleProcess(*host.server, host.name + " server", false), asio::detached);
         }
     }
@@ -77,7 +77,7 @@
     while (std::chrono::steady_clock::now() < m_endTime) {
         checkRunning(process, name);
         const int choice = std::uniform_int_distribution<int>(0, 9)(m_random);
-        if (m_mode == SoakMode::Planned) {
+        if (hasPlannedStopsOnly(m_mode)) {
             if (choice < 3) {
                 process.sendSignal(SIGHUP);
             } else {
--- a/tests/lab/soakjudge_test.cpp
+++ b/tests/lab/soakjudge_test.cpp
@@ -116,3 +116,16 @@
     STRCMP_EQUAL("LOST SILENT", judge(SoakMode::Planned).c_str());
     STRCMP_EQUAL("", judge(SoakMode::Mixed).c_str());
 }
+
+// Guards against requests that waited at a node, never ran, and lost their connection without an answer.
+TEST(SoakJudge, ReportsARequestThatWaitedAndLostItsConnectionButNotOneThatCrossedItsEnd)
+{
+    requests = {booking(0), booking(0)};
+    requests[0].connectionEnded = true;
+    requests[0].waited = std::chrono::milliseconds(900);
+    requests[1].id = "c1-2";
+    requests[1].connectionEnded = true;
+    requests[1].waited = std::chrono::milliseconds(5);
+
+    STRCMP_EQUAL("LOST", judge(SoakMode::Waits).c_str());
+}
