Take a connection that the link resets for a crossing in the fault soak

The check of requests that never ran took any end of a connection after more than 200 ms for a lost request. The link accepts before it connects to the node; if no node listens then, or its listener ignores the first attempt because it is closing, the link resets the connection up to a second later although no node has read the request. A process that has read all bytes ends its connections in order, so only these ends count now.

--- a/src/lab/faults/soakclient.cpp
+++ b/src/lab/faults/soakclient.cpp
@@ -148,6 +148,7 @@
     if (error) {
         record.timedOut = error == beast::error::timeout;
         record.connectionEnded = !record.timedOut;
+        record.endedInOrder = error == http::error::end_of_stream || error == http::error::partial_message;
         m_stream.reset();
         co_return;
     }
--- a/src/lab/faults/soakjudge.cpp
+++ b/src/lab/faults/soakjudge.cpp
@@ -71,8 +71,9 @@
         if (hasPlannedStopsOnly(m_mode) && request.timedOut && !request.abandoned) {
             report("SILENT", request.id, "no response within the deadline of the client");
         }
-        // A request that crosses the end of its connection does not run, and its connection ends at once.
-        const bool wasTaken = hasRun(request.id) || request.waited > CrossingTime;
+        // A request that crosses the end of its connection does not run, and its connection ends at once. The link resets connections to a
+        // node that does not listen.
+        const bool wasTaken = hasRun(request.id) || (request.endedInOrder && request.waited > CrossingTime);
         if (hasPlannedStopsOnly(m_mode) && request.sentWhole && request.connectionEnded && !request.abandoned && wasTaken) {
             report("LOST", request.id,
                    "the connection ended without a complete response after " + std::to_string(request.waited.count()) + " ms; "
--- a/src/lab/faults/soakrequest.h
+++ b/src/lab/faults/soakrequest.h
@@ -19,6 +19,8 @@
     bool abandoned = false;
     // The connection ended without a complete response, while the client was waiting for it.
     bool connectionEnded = false;
+    // The connection ended without a reset: whoever closed it had read the whole request.
+    bool endedInOrder = false;
     // Time from the last byte of the request to the end of its connection or its response.
     std::chrono::milliseconds waited{0};
     // No complete response arrived within the deadline and some slack.
--- a/tests/lab/soakjudge_test.cpp
+++ b/tests/lab/soakjudge_test.cpp
@@ -120,12 +120,16 @@
 // Guards against requests that waited at a node, never ran, and lost their connection without an answer.
 TEST(SoakJudge, ReportsARequestThatWaitedAndLostItsConnectionButNotOneThatCrossedItsEnd)
 {
-    requests = {booking(0), booking(0)};
-    requests[0].connectionEnded = true;
-    requests[0].waited = std::chrono::milliseconds(900);
-    requests[1].id = "c1-2";
-    requests[1].connectionEnded = true;
+    requests = {booking(0), booking(0), booking(0)};
+    for (std::size_t number = 0; number < requests.size(); ++number) {
+        requests[number].id = "c1-" + std::to_string(number);
+        requests[number].connectionEnded = true;
+        requests[number].endedInOrder = true;
+        requests[number].waited = std::chrono::milliseconds(900);
+    }
     requests[1].waited = std::chrono::milliseconds(5);
+    // Reset by the link, because no node was listening.
+    requests[2].endedInOrder = false;
 
     STRCMP_EQUAL("LOST", judge(SoakMode::Waits).c_str());
 }
