--- a/review/14/case.py
+++ b/review/14/case.py
@@ -28,12 +28,12 @@
     crashes = []
 
     def run_of(instance):
-        async def run(request, writer):
+        async def run(request):
             if standins.trouble() and is_crashing(request):
                 crashes.append(fleet.record.now())
                 asyncio.ensure_future(instance.crash(DOWN_S))
                 await asyncio.sleep(60)
-            return await instance.default_run(request, writer)
+            return await instance.default_run(request)
         return run
 
     for machine in fleet.machines:
--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -118,9 +118,6 @@
         self.items = {}
         self.events = []
         self.changed = asyncio.Event()
-        # Called with the address of the caller; a call for which it returns true is neither served nor answered.
-        self.is_silent = lambda peer: False
-        self.calls = {}
         # Number of times that the store has come back from an older copy; null if it does not tell.
         self.era = None
         self.writers = set()
@@ -161,18 +158,14 @@
         self.changed = asyncio.Event()
 
     async def serve(self, reader, writer):
-        peer = writer.get_extra_info("peername")[0]
         self.writers.add(writer)
         try:
             while True:
                 request = await read_message(reader)
                 if request is None:
                     break
-                self.calls[peer] = self.calls.get(peer, 0) + 1
                 path, _, query = request.first.split(" ")[1].partition("?")
                 answer = await self.answer(path, {k: v[0] for k, v in urllib.parse.parse_qs(query).items()})
-                while self.is_silent(peer):
-                    await asyncio.sleep(0.05)
                 await asyncio.sleep(0.004)
                 status, body = answer
                 headers = {"Content-Type": "application/json"}
@@ -214,7 +207,7 @@
 
 
 class Instance:
-    """An instance of a service. `behave` decides what a run does; see `default_run`."""
+    """An instance of a service. `run` decides what a run does; see `default_run`."""
 
     def __init__(self, fleet, machine, service, slots=60):
         self.fleet, self.machine, self.service, self.slots = fleet, machine, service, slots
@@ -223,7 +216,6 @@
         self.writers = set()
         self.running = 0
         self.run = self.default_run
-        self.reports = True
         self.state = "ready"
 
     async def start(self):
@@ -238,8 +230,7 @@
 
     async def beat(self):
         while True:
-            if self.reports:
-                self.register()
+            self.register()
             await asyncio.sleep(HEARTBEAT_S)
 
     def register(self):
@@ -283,24 +274,8 @@
                     identity, self.id, self.service, " ".join(request.first.split(" ")[:2]),
                     headers.get("wisteriafork-caller-service", "-")))
                 self.fleet.runs.append((self.fleet.record.now(), identity, self.id, request))
-                running = asyncio.ensure_future(self.run(request, writer))
-                closed = asyncio.ensure_future(reader.read(1)) if self.drops_on_close else None
-                if closed:
-                    await asyncio.wait({running, closed}, return_when=asyncio.FIRST_COMPLETED)
-                    if not running.done() or closed.done():
-                        running.cancel()
-                        self.running -= 1
-                        break
-                    closed.cancel()
-                    try:
-                        await closed
-                    except (asyncio.CancelledError, ConnectionError):
-                        pass
-                result = await running
+                status, body = await self.run(request)
                 self.running -= 1
-                if result is None:
-                    break
-                status, body = result
                 common["Wisteriafork-Response-Seal"] = "seal-" + identity
                 common["Wisteriafork-Instance-Load"] = "%d,0,%d" % (self.running, self.slots)
                 writer.write(response(status, common, body))
@@ -311,9 +286,7 @@
             self.writers.discard(writer)
             writer.close()
 
-    drops_on_close = False
-
-    async def default_run(self, request, writer):
+    async def default_run(self, request):
         await asyncio.sleep(0.05)
         return 200, ("answer of %s to %s" % (self.id, request.headers.get(ID))).encode()
 
@@ -345,7 +318,7 @@
             "FaultTolerance": {"Machines": 1, "Zones": 0, "Regions": 0},
             "Bounds": ["%s=%s" % item for item in dict(BOUNDS, **self.fleet.extra_bounds).items()],
             "AppAddr": "%s:%d" % (self.ip, APP), "Service": self.service,
-            "Platform": {"Address": "%s:%d" % self.fleet.store_address(self), "form": "read", "WritesPerS": 400,
+            "Platform": {"Address": "%s:%d" % (self.fleet.store.address, self.fleet.store.port), "form": "read", "WritesPerS": 400,
                          "ReadsPerS": 2000, "HistoryS": 20, "ValueBytes": 1048576, "MinTtlS": 1},
         }
         path = os.path.join(self.fleet.folder, self.name + ".json")
@@ -451,7 +424,6 @@
         self.last_beat = {}
         self.extra_bounds = {}
         self.store = Store(self)
-        self.store_address = lambda machine: (self.store.address, self.store.port)
         self.version = 0
 
     def address(self, third, fourth):
