Add a case in which two nodes lend the same quota, in place of the log reader

Cause: a node counts as covered until its readers notice that the store does not respond. A lender that has been replaced lends on at the full rate meanwhile, beside its successor.

--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -121,9 +121,20 @@
         # Number of times that the store has come back from an older copy; null if it does not tell.
         self.era = None
         self.writers = set()
+        # Machines that the store turns away: it takes their calls and does not respond.
+        self.turned_away = set()
+        # Times of the last watch for instances and of the last check for a newer configuration of each machine, by its name.
+        self.last_instance_watch = {}
+        self.last_check = {}
+        self.servers = []
+
+    def address_for(self, machine):
+        """Each machine has an address of its own for the store, as on a network the store would know it by its own address."""
+        return "%s:%d" % (self.address, self.port + machine.number)
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, self.address, self.port)
+        self.servers = [await asyncio.start_server(lambda r, w, machine=machine: self.serve(r, w, machine), self.address,
+                                                   self.port + machine.number) for machine in self.fleet.machines]
 
     def copy(self):
         return dict(self.items), list(self.events), self.revision
@@ -131,7 +142,8 @@
     async def restore(self, copy, away_s):
         """The store is away for a moment and comes back from an older copy."""
         self.fleet.record.write("the store goes away")
-        self.server.close()
+        for server in self.servers:
+            server.close()
         for writer in list(self.writers):
             reset(writer)
         await asyncio.sleep(away_s)
@@ -157,7 +169,7 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    async def serve(self, reader, writer):
+    async def serve(self, reader, writer, machine):
         self.writers.add(writer)
         try:
             while True:
@@ -166,6 +178,12 @@
                     break
                 path, _, query = request.first.split(" ")[1].partition("?")
                 answer = await self.answer(path, {k: v[0] for k, v in urllib.parse.parse_qs(query).items()})
+                if path == "/-/kv-watch" and "servers" in query:
+                    self.last_instance_watch[machine.name] = self.fleet.record.now()
+                elif path == "/-/kv-watch" and "WaitMs=0" in query:
+                    self.last_check[machine.name] = self.fleet.record.now()
+                while machine.name in self.turned_away:
+                    await asyncio.sleep(0.05)
                 await asyncio.sleep(0.004)
                 status, body = answer
                 headers = {"Content-Type": "application/json"}
@@ -217,6 +235,15 @@
         self.running = 0
         self.run = self.default_run
         self.state = "ready"
+        self.cold_until = 0.0
+
+    def start_again(self, cold_s):
+        """Starts again under the id that it had, within a moment, and is slow for some seconds."""
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.cold_until = time.monotonic() + cold_s
+        self.register()
+        self.fleet.record.write("instance %s of %s starts again on %s" % (self.id, self.service, self.machine.name))
 
     async def start(self):
         self.id = "i-%08x" % self.fleet.random.getrandbits(32)
@@ -235,8 +262,9 @@
 
     def register(self):
         self.sequence += 1
+        cold = max(0.0, self.cold_until - time.monotonic())
         entry = {"Service": self.service, "Address": "%s:%d" % (self.machine.ip, APP), "Zone": self.machine.zone,
-                 "Version": "v1", "Slots": self.slots, "State": self.state, "ColdRemainingS": 0,
+                 "Version": "v1", "Slots": self.slots, "State": self.state, "ColdRemainingS": round(cold, 1),
                  "Sequence": self.sequence, "born": self.born}
         self.fleet.last_beat["servers/" + self.id] = time.monotonic()
         key = "servers/" + self.id
@@ -256,6 +284,19 @@
         await asyncio.sleep(down_s)
         await self.start()
 
+    async def leave(self, drain_s=BOUNDS["DrainS"]):
+        """Reports that it drains, serves for a time, removes its entry and ends."""
+        self.state = "draining"
+        self.register()
+        await asyncio.sleep(drain_s + 0.5)
+        self.beating.cancel()
+        self.fleet.last_beat.pop("servers/" + self.id, None)
+        self.fleet.store.delete("servers/" + self.id)
+        self.server.close()
+        for writer in list(self.writers):
+            writer.close()
+        self.fleet.record.write("instance %s of %s has left" % (self.id, self.service))
+
     async def serve(self, reader, writer):
         self.writers.add(writer)
         try:
@@ -295,13 +336,11 @@
     """A sidecar machine: its settings, its relay process and its instance."""
 
     def __init__(self, fleet, name, zone, number, service):
-        self.fleet, self.name, self.zone, self.service = fleet, name, zone, service
+        self.fleet, self.name, self.zone, self.number, self.service = fleet, name, zone, number, service
         self.ip = fleet.address(number // 250 + 1, number % 250 + 1)
         self.instance = Instance(fleet, self, service)
         self.process = None
         self.log = None
-        # If set, the relay writes its log to a pipe, which is read while the event is set. Otherwise it writes to a file.
-        self.collector = None
 
     def write_settings(self, first_start):
         settings = {
@@ -318,7 +357,7 @@
             "FaultTolerance": {"Machines": 1, "Zones": 0, "Regions": 0},
             "Bounds": ["%s=%s" % item for item in dict(BOUNDS, **self.fleet.extra_bounds).items()],
             "AppAddr": "%s:%d" % (self.ip, APP), "Service": self.service,
-            "Platform": {"Address": "%s:%d" % (self.fleet.store.address, self.fleet.store.port), "form": "read", "WritesPerS": 400,
+            "Platform": {"Address": self.fleet.store.address_for(self), "form": "read", "WritesPerS": 400,
                          "ReadsPerS": 2000, "HistoryS": 20, "ValueBytes": 1048576, "MinTtlS": 1},
         }
         path = os.path.join(self.fleet.folder, self.name + ".json")
@@ -330,23 +369,10 @@
         path = self.write_settings(first_start)
         self.log = open(os.path.join(self.fleet.folder, self.name + ".log"), "ab")
         environment = {"PATH": os.environ["PATH"], "WISTERIAFORK_NODE_FILE": path}
-        output = asyncio.subprocess.PIPE if self.collector else self.log
         self.process = await asyncio.create_subprocess_exec(*deployed_command(), cwd=ROOT, env=environment,
-                                                            stdout=output, stderr=self.log, limit=1)
-        if self.collector:
-            asyncio.ensure_future(self.collect(self.process.stdout))
+                                                            stdout=self.log, stderr=self.log)
         self.fleet.record.write("relay starts on %s (%s, %s)" % (self.name, self.zone, self.ip))
 
-    async def collect(self, stream):
-        """Collects the log of the relay through a pipe, as long as `collector` is set."""
-        while True:
-            await self.collector.wait()
-            data = await stream.read(65536)
-            if not data:
-                break
-            self.log.write(data)
-            self.log.flush()
-
     def signal(self, number):
         self.fleet.record.write("%s to the relay on %s" % (signal.Signals(number).name, self.name))
         self.process.send_signal(number)
