--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -436,14 +436,28 @@
         self.reader = self.writer = None
 
 
+def claim_block():
+    """A block of loopback addresses that no other run uses, and the socket that claims it for this run."""
+    numbers = list(range(20, 250))
+    random.SystemRandom().shuffle(numbers)
+    for number in numbers:
+        claim = socket.socket()
+        try:
+            claim.bind(("127.%d.255.1" % number, PEER))
+            claim.listen()
+            return "127.%d" % number, claim
+        except OSError:
+            claim.close()
+    raise RuntimeError("no free block of loopback addresses")
+
+
 class Fleet:
     def __init__(self, folder, seed=1):
         self.random = random.Random(seed)
         self.record = Record(folder)
         self.temporary = tempfile.TemporaryDirectory()
         self.folder = self.temporary.name
-        block = random.SystemRandom()
-        self.block = "127.%d" % block.randrange(20, 250)
+        self.block, self.claim = claim_block()
         self.runs = []
         self.answers = {}
         self.machines = []
